--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/chart/StateChart.java
@@ -0,0 +1,201 @@
+package org.eelgrasspitch.chart;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.Fields;
+import org.eelgrasspitch.misc.LocatedNode;
+import org.eelgrasspitch.misc.LocatedReader;
+
+/**
+ * A finite state machine that is read from a JSON file.
+ * <p>
+ * The file names the initial state and, for each state, its transitions and the events
+ * that it ignores: <pre>
+ * {"initial": "idle", "states": [
+ *   {"name": "idle", "on": [{"event": "start", "to": "busy", "actions": ["open"]}], "ignores": ["stop"]},
+ *   {"name": "busy", "on": [{"event": "stop", "to": "idle", "actions": []}], "ignores": ["start"]}]}
+ * </pre> The enums {@code S}, {@code E} and {@code A} are the vocabulary; words in the
+ * file are the constants in lower case with hyphens. Loading checks that every state
+ * appears once, that each state handles or ignores every event exactly once, and that
+ * every state can be reached from the initial one. A chart that fails is a broken
+ * invariant of the program and stops it.
+ * <p>
+ * The chart holds no current state: {@link #next} is a pure function, and its user keeps
+ * the state.
+ *
+ * @param <S> enum of states
+ * @param <E> enum of events
+ * @param <A> enum of actions
+ */
+public final class StateChart<S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> {
+
+	private static final int MAX_CHART_BYTES = 65_536;
+
+	private static final int MAX_ENTRIES = 64;
+
+	private final Class<S> states;
+
+	private final Class<E> events;
+
+	private final Class<A> actions;
+
+	/** Transitions by state and event; an ignored event has none. */
+	private final Map<S, Map<E, Transition<S, A>>> transitions;
+
+	/** The state in which a user of the chart starts. */
+	private S initial;
+
+	private final List<String> errors = new ArrayList<>();
+
+	private StateChart(Class<S> states, Class<E> events, Class<A> actions) {
+		this.states = states;
+		this.events = events;
+		this.actions = actions;
+		this.transitions = new EnumMap<>(states);
+	}
+
+	/**
+	 * Loads and checks a chart.
+	 * @param <S> enum of states
+	 * @param <E> enum of events
+	 * @param <A> enum of actions
+	 * @param resource name of the file in this package, without {@code .json}
+	 * @param states class of the states
+	 * @param events class of the events
+	 * @param actions class of the actions
+	 * @return the chart
+	 */
+	public static <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> StateChart<S, E, A> load(String resource,
+			Class<S> states, Class<E> events, Class<A> actions) {
+		try (InputStream input = StateChart.class.getResourceAsStream(resource + ".json")) {
+			if (input == null) {
+				throw new IllegalStateException("no state chart " + resource);
+			}
+			return parse(resource, input.readAllBytes(), states, events, actions);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	static <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> StateChart<S, E, A> parse(String name,
+			byte[] content, Class<S> states, Class<E> events, Class<A> actions) {
+		StateChart<S, E, A> chart = new StateChart<>(states, events, actions);
+		chart.read(content);
+		if (!chart.errors.isEmpty()) {
+			throw new IllegalStateException("state chart " + name + ": " + String.join("; ", chart.errors));
+		}
+		return chart;
+	}
+
+	/**
+	 * Returns the initial state.
+	 * @return the state in which a user of the chart starts
+	 */
+	public S initial() {
+		return this.initial;
+	}
+
+	/**
+	 * Looks up what a state does on an event.
+	 * @param state the current state
+	 * @param event what happened
+	 * @return the transition, or empty when the state ignores the event
+	 */
+	public Optional<Transition<S, A>> next(S state, E event) {
+		return Optional.ofNullable(this.transitions.get(state).get(event));
+	}
+
+	private void read(byte[] content) {
+		CollectingProblemListener listener = new CollectingProblemListener();
+		Optional<LocatedNode> root = new LocatedReader(MAX_CHART_BYTES, listener).read(content);
+		root.flatMap((node) -> Fields.of("the chart", node, listener)).ifPresent((fields) -> {
+			this.initial = word(this.states, fields.text("initial"));
+			fields.list("states", 1, MAX_ENTRIES)
+				.forEach((node) -> Fields.of("a state", node, listener)
+					.ifPresent((state) -> readState(state, listener)));
+			fields.refuseUnknown();
+		});
+		listener.problems().forEach((problem) -> this.errors.add(problem.toString()));
+		if (this.errors.isEmpty()) {
+			checkStates();
+		}
+	}
+
+	private void readState(Fields fields, CollectingProblemListener listener) {
+		S state = word(this.states, fields.text("name"));
+		Map<E, Transition<S, A>> outgoing = new EnumMap<>(this.events);
+		EnumSet<E> handled = EnumSet.noneOf(this.events);
+		for (LocatedNode node : fields.list("on", 0, MAX_ENTRIES)) {
+			Fields.of("a transition", node, listener).ifPresent((transition) -> {
+				E event = word(this.events, transition.text("event"));
+				List<A> todo = transition.texts("actions", MAX_ENTRIES)
+					.stream()
+					.map((action) -> word(this.actions, action.value()))
+					.toList();
+				outgoing.put(event, new Transition<>(word(this.states, transition.text("to")), todo));
+				handle(state, handled, event);
+				transition.refuseUnknown();
+			});
+		}
+		fields.texts("ignores", MAX_ENTRIES)
+			.forEach((ignored) -> handle(state, handled, word(this.events, ignored.value())));
+		fields.refuseUnknown();
+		EnumSet.complementOf(handled)
+			.forEach((event) -> this.errors.add("state " + state + " neither handles nor ignores " + event));
+		if (this.transitions.put(state, outgoing) != null) {
+			this.errors.add("state " + state + " is defined twice");
+		}
+	}
+
+	private void handle(S state, Set<E> handled, E event) {
+		if (!handled.add(event)) {
+			this.errors.add("state " + state + " handles " + event + " twice");
+		}
+	}
+
+	private void checkStates() {
+		Set<S> reached = EnumSet.of(this.initial);
+		Deque<S> open = new ArrayDeque<>(reached);
+		while (!open.isEmpty()) {
+			for (Transition<S, A> transition : this.transitions.getOrDefault(open.pop(), Map.of()).values()) {
+				if (reached.add(transition.target())) {
+					open.push(transition.target());
+				}
+			}
+		}
+		for (S state : this.states.getEnumConstants()) {
+			if (!this.transitions.containsKey(state)) {
+				this.errors.add("state " + state + " is not defined");
+			}
+			if (!reached.contains(state)) {
+				this.errors.add("state " + state + " cannot be reached");
+			}
+		}
+	}
+
+	private <W extends Enum<W>> W word(Class<W> type, String written) {
+		String constant = written.toUpperCase(Locale.ROOT).replace('-', '_');
+		for (W word : type.getEnumConstants()) {
+			if (word.name().equals(constant)) {
+				return word;
+			}
+		}
+		this.errors.add("unknown " + type.getSimpleName() + " \"" + written + "\"");
+		return type.getEnumConstants()[0];
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Backoff.java
@@ -0,0 +1,29 @@
+package org.eelgrasspitch.fleet;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Exponential backoff with full jitter: the delay before attempt {@code n} is uniform
+ * between zero and {@code base * 2^n}, capped. Full jitter spreads the retries of many
+ * processes that failed at the same moment.
+ *
+ * @param baseMillis upper bound of the first delay, in milliseconds
+ * @param capMillis upper bound of every delay, in milliseconds
+ */
+public record Backoff(long baseMillis, long capMillis) {
+
+	private static final int MAX_DOUBLINGS = 20;
+
+	/**
+	 * Draws a delay.
+	 * @param failures number of failures in a row so far, at least 1
+	 * @param random source of randomness
+	 * @return milliseconds to wait
+	 */
+	public long delayMillis(int failures, RandomGenerator random) {
+		int doublings = Math.min(Math.max(failures - 1, 0), MAX_DOUBLINGS);
+		long bound = Math.min(this.capMillis, this.baseMillis << doublings);
+		return random.nextLong(bound + 1);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Distribution.java
@@ -0,0 +1,28 @@
+package org.eelgrasspitch.fleet;
+
+/**
+ * Ways to bring documents to all nodes.
+ */
+public enum Distribution {
+
+	/** Readers watch the platform; others pull the parts that changed. */
+	PARTS("parts"),
+
+	/** Readers watch the platform; others pull whole documents. For comparison. */
+	WHOLE("whole"),
+
+	/** Every node watches the platform itself. For comparison. */
+	POLL("poll");
+
+	private final String word;
+
+	Distribution(String word) {
+		this.word = word;
+	}
+
+	@Override
+	public String toString() {
+		return this.word;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetView.java
@@ -0,0 +1,35 @@
+package org.eelgrasspitch.fleet;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.eelgrasspitch.text.Version;
+
+/**
+ * A {@link FleetMember} as operators see it.
+ *
+ * @param life state of the node
+ * @param role whether it reads the platform
+ * @param text version of the text held; empty before the first
+ * @param floor highest revision of the text known to be held anywhere; 0 when unknown
+ * @param vms version of the VM list held; empty before the first
+ * @param evidenceAgeMillis age of the evidence that the text is current, in milliseconds;
+ * negative when there is none
+ * @param rejection the latest rejected text; empty when none
+ * @param peers open links
+ */
+public record FleetView(LifeState life, RoleState role, Optional<Version> text, long floor, Optional<Version> vms,
+		long evidenceAgeMillis, Optional<Rejection> rejection, List<PeerView> peers) {
+
+	/**
+	 * One open link.
+	 *
+	 * @param peer the node at the other end
+	 * @param outbound true when this node opened it
+	 * @param revision revision of the text that the peer holds; 0 when unknown
+	 */
+	public record PeerView(Peer peer, boolean outbound, long revision) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Link.java
@@ -0,0 +1,104 @@
+package org.eelgrasspitch.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.Version;
+
+/**
+ * What a {@link FleetMember} remembers of one open link.
+ */
+final class Link {
+
+	private final long id;
+
+	private final Peer peer;
+
+	private final boolean outbound;
+
+	/** The address dialled; null for an inbound link. */
+	private final InetSocketAddress dialled;
+
+	/** When anything last arrived, in monotonic milliseconds. */
+	private long heardAt;
+
+	/** When a status was last sent, in monotonic milliseconds; 0 before the first. */
+	private long toldAt;
+
+	/** The latest status of the peer; null before the first. */
+	private PeerMessage.Status status;
+
+	/** Nonce of a query that still waits for a confirmed answer; 0 when none does. */
+	private long owedNonce;
+
+	Link(FleetEvent.LinkOpened opened, long now) {
+		this.id = opened.link();
+		this.peer = opened.peer();
+		this.outbound = opened.outbound();
+		this.dialled = opened.dialled();
+		this.heardAt = now;
+	}
+
+	long id() {
+		return this.id;
+	}
+
+	Peer peer() {
+		return this.peer;
+	}
+
+	boolean isOutbound() {
+		return this.outbound;
+	}
+
+	InetSocketAddress dialled() {
+		return this.dialled;
+	}
+
+	Optional<PeerMessage.Status> status() {
+		return Optional.ofNullable(this.status);
+	}
+
+	void heard(PeerMessage.Status latest) {
+		this.status = latest;
+	}
+
+	void touch(long now) {
+		this.heardAt = now;
+	}
+
+	boolean isSilent(long now, long silenceMillis) {
+		return now - this.heardAt > silenceMillis;
+	}
+
+	void told(long now) {
+		this.toldAt = now;
+	}
+
+	boolean isDue(long now, long intervalMillis) {
+		return now - this.toldAt >= intervalMillis;
+	}
+
+	void owe(long nonce) {
+		this.owedNonce = nonce;
+	}
+
+	long takeOwed() {
+		long nonce = this.owedNonce;
+		this.owedNonce = 0;
+		return nonce;
+	}
+
+	boolean isOwed() {
+		return this.owedNonce != 0;
+	}
+
+	/**
+	 * Returns the revision that the peer last said it holds.
+	 */
+	long revision(Channel channel) {
+		return status().flatMap((latest) -> latest.version(channel)).map(Version::revision).orElse(0L);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/PeerMessage.java
@@ -0,0 +1,87 @@
+package org.eelgrasspitch.fleet;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.Part;
+import org.eelgrasspitch.text.Version;
+
+/**
+ * Messages between nodes about the published documents.
+ */
+public sealed interface PeerMessage {
+
+	/**
+	 * What the sender holds. Sent at every change, as heartbeat, and as reply to
+	 * {@link Query}.
+	 *
+	 * @param text version of the text held; empty before the first
+	 * @param vms version of the VM list held; empty before the first
+	 * @param evidenceAgeMillis time since the platform is known to have confirmed the
+	 * text, in milliseconds; {@link #NO_EVIDENCE} when it has not
+	 * @param rejectedRevision revision of the latest rejected text; 0 when none
+	 * @param leaving true when the sender accepts no new work
+	 * @param nonce the nonce of the query that this answers; 0 when it answers none
+	 */
+	record Status(Optional<Version> text, Optional<Version> vms, long evidenceAgeMillis, long rejectedRevision,
+			boolean leaving, long nonce) implements PeerMessage {
+
+		/** Value of {@code evidenceAgeMillis} for a sender without evidence. */
+		public static final long NO_EVIDENCE = -1;
+
+		/**
+		 * Returns the version of a document.
+		 * @param channel which document
+		 * @return the version held, or empty
+		 */
+		public Optional<Version> version(Channel channel) {
+			return (channel == Channel.TEXT) ? this.text : this.vms;
+		}
+
+	}
+
+	/**
+	 * Asks for a {@link Status} that was sent after this question.
+	 *
+	 * @param nonce to be repeated in the answer; not 0
+	 */
+	record Query(long nonce) implements PeerMessage {
+
+	}
+
+	/**
+	 * Asks for the document that the receiver holds.
+	 *
+	 * @param channel which document
+	 * @param held digests of the parts that the sender has already
+	 */
+	record Pull(Channel channel, List<Digest> held) implements PeerMessage {
+
+	}
+
+	/**
+	 * Answers a {@link Pull}.
+	 *
+	 * @param channel which document
+	 * @param version the version sent; empty when the sender holds none
+	 * @param manifest names and digests of all parts in order
+	 * @param parts the parts that the receiver lacked
+	 */
+	record Parts(Channel channel, Optional<Version> version, List<PartName> manifest,
+			List<Part> parts) implements PeerMessage {
+
+	}
+
+	/**
+	 * Names a part within a manifest.
+	 *
+	 * @param name the part's name
+	 * @param digest the part's digest
+	 */
+	record PartName(String name, Digest digest) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/PlatformCaller.java
@@ -0,0 +1,112 @@
+package org.eelgrasspitch.fleet;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.eelgrasspitch.text.Channel;
+
+/**
+ * Schedules this node's calls to the platform.
+ * <p>
+ * There is at most one call in flight for each {@link Channel}. Every call takes a token
+ * from one bucket, whose rate is this node's part of the fleet's share of the platform's
+ * capacity; failures are followed by full-jitter backoff. A call that was superseded, for
+ * example after a pause, is recognised by its sequence number and its answer dropped.
+ */
+final class PlatformCaller {
+
+	private static final Backoff BACKOFF = new Backoff(500, 8_000);
+
+	private static final double BURST = 6;
+
+	private final RandomGenerator random;
+
+	private final TokenBucket bucket;
+
+	private final Map<Channel, Call> calls = new EnumMap<>(Channel.class);
+
+	/** Number of the latest call. */
+	private long sequence;
+
+	PlatformCaller(RandomGenerator random, double ratePerSecond, long now) {
+		this.random = random;
+		this.bucket = new TokenBucket(ratePerSecond, BURST, now);
+		for (Channel channel : Channel.values()) {
+			this.calls.put(channel, new Call());
+		}
+	}
+
+	void changeRate(double ratePerSecond, long now) {
+		this.bucket.changeRate(ratePerSecond, now);
+	}
+
+	/**
+	 * Starts a call unless one is in flight, a backoff runs or the bucket is empty.
+	 */
+	Optional<FleetEffect> tryCall(Channel channel, long afterRevision, long waitMillis, long now) {
+		Call call = this.calls.get(channel);
+		if (call.inFlight || now < call.notBefore || !this.bucket.tryTake(now)) {
+			return Optional.empty();
+		}
+		call.inFlight = true;
+		call.number = ++this.sequence;
+		return Optional.of(new FleetEffect.CallPlatform(channel, call.number, afterRevision, waitMillis));
+	}
+
+	/**
+	 * Takes the answer of a call.
+	 * @return false when the call was superseded and its answer must be dropped
+	 */
+	boolean answered(Channel channel, long number) {
+		Call call = this.calls.get(channel);
+		if (!call.inFlight || call.number != number) {
+			return false;
+		}
+		call.inFlight = false;
+		call.failures = 0;
+		return true;
+	}
+
+	boolean failed(Channel channel, long number, long now) {
+		Call call = this.calls.get(channel);
+		if (!call.inFlight || call.number != number) {
+			return false;
+		}
+		call.inFlight = false;
+		call.failures++;
+		call.notBefore = now + BACKOFF.delayMillis(call.failures, this.random);
+		return true;
+	}
+
+	/**
+	 * Drops calls in flight and backoffs, so that the next call starts afresh.
+	 */
+	void reset() {
+		this.calls.values().forEach((call) -> {
+			call.inFlight = false;
+			call.notBefore = 0;
+		});
+	}
+
+	/**
+	 * The state of one channel's call.
+	 */
+	private static final class Call {
+
+		/** True while an answer is awaited. */
+		private boolean inFlight;
+
+		/** Sequence number of the latest call; 0 before the first. */
+		private long number;
+
+		/** Failures in a row. */
+		private int failures;
+
+		/** Earliest time of the next call, in monotonic milliseconds. */
+		private long notBefore;
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/ReaderRanking.java
@@ -0,0 +1,55 @@
+package org.eelgrasspitch.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.eelgrasspitch.text.Vm;
+import org.eelgrasspitch.text.VmList;
+
+/**
+ * Chooses the readers of each failure domain: the first {@link #READERS} VMs in the
+ * rendezvous ranking for the failure domain's name that are not known to be unusable.
+ * There is no election; a wrong VM list costs duplicate reads at worst. When every VM is
+ * believed unusable the first ones count all the same.
+ */
+final class ReaderRanking {
+
+	/** Readers in each failure domain. */
+	static final int READERS = 2;
+
+	/** Ranks that may call the platform at a reader's rate. */
+	static final int CANDIDATES = 2 * READERS;
+
+	/** The list that is ranked. */
+	private VmList vms = VmList.EMPTY;
+
+	/** Rankings computed so far for {@link #vms}, by failure domain. */
+	private final Map<String, List<Vm>> rankings = new HashMap<>();
+
+	void use(VmList latest) {
+		this.vms = latest;
+		this.rankings.clear();
+	}
+
+	VmList vms() {
+		return this.vms;
+	}
+
+	List<Vm> readers(String failureDomain, Predicate<Vm> usable) {
+		List<Vm> ranking = ranking(failureDomain);
+		List<Vm> readers = ranking.stream().filter(usable).limit(READERS).toList();
+		return readers.isEmpty() ? ranking.stream().limit(READERS).toList() : readers;
+	}
+
+	boolean isCandidate(String failureDomain, String vm) {
+		return ranking(failureDomain).stream().limit(CANDIDATES).anyMatch((ranked) -> ranked.name().equals(vm));
+	}
+
+	private List<Vm> ranking(String failureDomain) {
+		return this.rankings.computeIfAbsent(failureDomain,
+				(name) -> Rendezvous.rank(name, this.vms.ofFailureDomain(name)));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/RoleEvent.java
@@ -0,0 +1,10 @@
+package org.eelgrasspitch.fleet;
+
+/**
+ * Events of the chart {@code reader-role}.
+ */
+enum RoleEvent {
+
+	RANKED_IN, RANKED_OUT, HEARD, NOTHING_HEARD
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Suspects.java
@@ -0,0 +1,57 @@
+package org.eelgrasspitch.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Addresses that recently failed to answer. A suspicion lapses after a jittered delay
+ * that doubles with each failure in a row, so that an address is tried again now and then
+ * and is never given up for good.
+ */
+final class Suspects {
+
+	private static final Backoff BACKOFF = new Backoff(2_000, 30_000);
+
+	private static final long LEAST_MILLIS = 500;
+
+	private final RandomGenerator random;
+
+	private final Map<InetSocketAddress, Suspicion> suspicions = new HashMap<>();
+
+	Suspects(RandomGenerator random) {
+		this.random = random;
+	}
+
+	void suspect(InetSocketAddress address, long now) {
+		Suspicion former = this.suspicions.get(address);
+		int failures = (former != null) ? former.failures() + 1 : 1;
+		long until = now + LEAST_MILLIS + BACKOFF.delayMillis(failures, this.random);
+		this.suspicions.put(address, new Suspicion(failures, until));
+	}
+
+	void clear(InetSocketAddress address) {
+		this.suspicions.remove(address);
+	}
+
+	void clearAll() {
+		this.suspicions.clear();
+	}
+
+	boolean isSuspected(InetSocketAddress address, long now) {
+		Suspicion suspicion = this.suspicions.get(address);
+		return suspicion != null && now < suspicion.until();
+	}
+
+	/**
+	 * A reason not to try an address.
+	 *
+	 * @param failures failures in a row
+	 * @param until when to try again, in monotonic milliseconds
+	 */
+	private record Suspicion(int failures, long until) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/TokenBucket.java
@@ -0,0 +1,62 @@
+package org.eelgrasspitch.fleet;
+
+/**
+ * Limits a rate while allowing short bursts. Tokens accrue continuously up to the burst
+ * size; each permitted call takes one.
+ */
+public final class TokenBucket {
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private final double burst;
+
+	private double ratePerSecond;
+
+	private double tokens;
+
+	private long updatedAt;
+
+	/**
+	 * Creates a full bucket.
+	 * @param ratePerSecond tokens that accrue in a second
+	 * @param burst most tokens held
+	 * @param now current monotonic time in milliseconds
+	 */
+	public TokenBucket(double ratePerSecond, double burst, long now) {
+		this.ratePerSecond = ratePerSecond;
+		this.burst = burst;
+		this.tokens = burst;
+		this.updatedAt = now;
+	}
+
+	/**
+	 * Changes the rate from now on.
+	 * @param newRatePerSecond tokens that accrue in a second
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void changeRate(double newRatePerSecond, long now) {
+		accrue(now);
+		this.ratePerSecond = newRatePerSecond;
+	}
+
+	/**
+	 * Takes a token if there is one.
+	 * @param now current monotonic time in milliseconds
+	 * @return true when the call is permitted
+	 */
+	public boolean tryTake(long now) {
+		accrue(now);
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens -= 1;
+		return true;
+	}
+
+	private void accrue(long now) {
+		double gained = (now - this.updatedAt) * this.ratePerSecond / MILLIS_PER_SECOND;
+		this.tokens = Math.min(this.burst, this.tokens + Math.max(gained, 0));
+		this.updatedAt = now;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Topology.java
@@ -0,0 +1,177 @@
+package org.eelgrasspitch.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.eelgrasspitch.chart.StateChart;
+import org.eelgrasspitch.chart.Transition;
+import org.eelgrasspitch.text.Vm;
+import org.eelgrasspitch.text.VmList;
+
+/**
+ * Decides whether this node is a reader, which nodes it keeps links to, and how often it
+ * may call the platform. The VM list is a hint: a VM that this node could not reach, or
+ * that said it is leaving, is passed over whatever the list says.
+ * <p>
+ * A follower that has heard from no peer for a while checks the platform itself, at
+ * jittered and growing intervals, until somebody is heard again.
+ */
+final class Topology {
+
+	private static final int MAX_WITNESSES = 2;
+
+	private static final Backoff SELF_CHECK = new Backoff(1_000, 10_000);
+
+	private final FleetSettings settings;
+
+	private final RandomGenerator random;
+
+	private final LinkTable links;
+
+	private final ReaderRanking ranking = new ReaderRanking();
+
+	private final StateChart<RoleState, RoleEvent, RoleAction> chart = StateChart.load("reader-role", RoleState.class,
+			RoleEvent.class, RoleAction.class);
+
+	private RoleState role = this.chart.initial();
+
+	/** True once this node accepts no new work; it is then no reader. */
+	private boolean leaving;
+
+	/** Earliest time of the next self-check, in monotonic milliseconds. */
+	private long selfCheckAt;
+
+	/** Self-checks since a peer was last heard. */
+	private int selfChecks;
+
+	Topology(FleetSettings settings, RandomGenerator random, LinkTable links, long now) {
+		this.settings = settings;
+		this.random = random;
+		this.links = links;
+		this.selfCheckAt = now + (settings.seeds().isEmpty() ? 0 : settings.startMillis() / 3);
+	}
+
+	RoleState role() {
+		return this.role;
+	}
+
+	boolean isPolling() {
+		return this.settings.distribution() == Distribution.POLL;
+	}
+
+	void use(VmList list) {
+		this.ranking.use(list);
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
+	/**
+	 * Fires the role chart for the present links.
+	 * @param now current monotonic time in milliseconds
+	 * @return the actions to take, in order
+	 */
+	List<RoleAction> evaluateRole(long now) {
+		boolean rankedIn = isPolling() || isReaderByRank(now);
+		Optional<List<RoleAction>> ranked = fire(rankedIn ? RoleEvent.RANKED_IN : RoleEvent.RANKED_OUT);
+		if (ranked.isPresent()) {
+			return ranked.get();
+		}
+		if (this.links.outbound().stream().anyMatch((link) -> link.status().isPresent())) {
+			this.selfChecks = 0;
+			this.selfCheckAt = now + this.settings.silenceMillis();
+			return fire(RoleEvent.HEARD).orElse(List.of());
+		}
+		if (now < this.selfCheckAt) {
+			return List.of();
+		}
+		this.selfChecks++;
+		this.selfCheckAt = now + 1 + SELF_CHECK.delayMillis(this.selfChecks, this.random);
+		return fire(RoleEvent.NOTHING_HEARD).orElse(List.of());
+	}
+
+	/**
+	 * Computes the addresses to which this node should keep links.
+	 * @param starting true while peers must be asked before the first text is taken
+	 * @param now current monotonic time in milliseconds
+	 * @return the addresses, without this node's own
+	 */
+	Set<InetSocketAddress> wanted(boolean starting, long now) {
+		Set<InetSocketAddress> wanted = new LinkedHashSet<>();
+		if (isPolling()) {
+			return wanted;
+		}
+		if (starting || this.ranking.vms().vms().isEmpty()) {
+			wanted.addAll(this.settings.seeds());
+		}
+		readers(self().failureDomain(), now).forEach((vm) -> wanted.add(vm.address()));
+		if (this.role == RoleState.READER) {
+			this.ranking.vms()
+				.failureDomains()
+				.forEach((name) -> readers(name, now).stream().limit(1).forEach((vm) -> wanted.add(vm.address())));
+		}
+		if (starting) {
+			witnesses().forEach((vm) -> wanted.add(vm.address()));
+		}
+		wanted.remove(self().address());
+		return wanted;
+	}
+
+	/**
+	 * Computes this node's part of the fleet's share of platform calls: half of the share
+	 * is divided among all nodes that may be readers, the other half among all nodes.
+	 * @return calls per second
+	 */
+	double platformRate() {
+		VmList list = this.ranking.vms();
+		double half = this.settings.platformCallsPerSecond() / 2;
+		if (this.ranking.isCandidate(self().failureDomain(), self().vm())) {
+			return half / (ReaderRanking.CANDIDATES * Math.max(1, list.failureDomains().size()));
+		}
+		return half / Math.max(1, list.vms().size());
+	}
+
+	private Optional<List<RoleAction>> fire(RoleEvent event) {
+		Optional<Transition<RoleState, RoleAction>> transition = this.chart.next(this.role, event);
+		transition.ifPresent((taken) -> this.role = taken.target());
+		return transition.map(Transition::actions);
+	}
+
+	private boolean isReaderByRank(long now) {
+		return readers(self().failureDomain(), now).stream().anyMatch((vm) -> vm.name().equals(self().vm()));
+	}
+
+	private List<Vm> readers(String failureDomain, long now) {
+		return this.ranking.readers(failureDomain, (vm) -> isUsable(vm, now));
+	}
+
+	private boolean isUsable(Vm vm, long now) {
+		if (vm.name().equals(self().vm())) {
+			return !this.leaving;
+		}
+		return !this.links.isSuspected(vm.address(), now) && !vm.leaving() && !this.links.isLeaving(vm.name());
+	}
+
+	/**
+	 * Returns further VMs of the failure domain to ask at the start, others for each
+	 * node.
+	 */
+	private List<Vm> witnesses() {
+		List<Vm> neighbours = this.ranking.vms().ofFailureDomain(self().failureDomain());
+		return Rendezvous.rank(self().vm(), neighbours)
+			.stream()
+			.filter((vm) -> !vm.name().equals(self().vm()))
+			.limit(MAX_WITNESSES)
+			.toList();
+	}
+
+	private Peer self() {
+		return this.settings.self();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Verdict.java
@@ -0,0 +1,53 @@
+package org.eelgrasspitch.fleet;
+
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.text.Checked;
+
+/**
+ * What a {@link VersionKeeper} decided about an offered version.
+ *
+ * @param <T> type of the parsed value
+ */
+public sealed interface Verdict<T> {
+
+	/**
+	 * The version is now held.
+	 *
+	 * @param <T> type of the parsed value
+	 * @param checked the document and its value
+	 */
+	record Accepted<T>(Checked<T> checked) implements Verdict<T> {
+
+	}
+
+	/**
+	 * The version is older than what is held or known, or the same; nothing changed.
+	 *
+	 * @param <T> type of the parsed value
+	 * @param older true when it is strictly older
+	 */
+	record Unneeded<T>(boolean older) implements Verdict<T> {
+
+	}
+
+	/**
+	 * The version has errors; nothing changed except the record of the rejection.
+	 *
+	 * @param <T> type of the parsed value
+	 * @param rejection revision and problems
+	 */
+	record Rejected<T>(Rejection rejection) implements Verdict<T> {
+
+	}
+
+	/**
+	 * The revision is the one held but the content differs; nothing changed.
+	 *
+	 * @param <T> type of the parsed value
+	 * @param problem names both digests
+	 */
+	record Conflicting<T>(Problem problem) implements Verdict<T> {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/misc/Addresses.java
@@ -0,0 +1,65 @@
+package org.eelgrasspitch.misc;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Reads and writes addresses of the form {@code IP:port}. Names are refused, so that no
+ * look-up ever happens.
+ */
+public final class Addresses {
+
+	private static final Pattern IPV4 = Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
+
+	private static final int MAX_OCTET = 255;
+
+	private static final int MAX_PORT = 65_535;
+
+	private Addresses() {
+	}
+
+	/**
+	 * Reads an address.
+	 * @param text for example {@code 10.0.0.7:7400}
+	 * @return the address, or empty when the form is wrong
+	 */
+	public static Optional<InetSocketAddress> parse(String text) {
+		Matcher matcher = IPV4.matcher(text);
+		if (!matcher.matches()) {
+			return Optional.empty();
+		}
+		byte[] octets = new byte[4];
+		for (int index = 0; index < octets.length; index++) {
+			int octet = Integer.parseInt(matcher.group(index + 1));
+			if (octet > MAX_OCTET) {
+				return Optional.empty();
+			}
+			octets[index] = (byte) octet;
+		}
+		int port = Integer.parseInt(matcher.group(5));
+		return (port <= MAX_PORT) ? Optional.of(socketAddress(octets, port)) : Optional.empty();
+	}
+
+	/**
+	 * Writes an address.
+	 * @param address the address
+	 * @return for example {@code 10.0.0.7:7400}
+	 */
+	public static String format(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+	private static InetSocketAddress socketAddress(byte[] octets, int port) {
+		try {
+			return new InetSocketAddress(InetAddress.getByAddress(octets), port);
+		}
+		catch (UnknownHostException ex) {
+			throw new IllegalStateException("four octets always form an address", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/text/Document.java
@@ -0,0 +1,49 @@
+package org.eelgrasspitch.text;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.eelgrasspitch.misc.Digest;
+
+/**
+ * One version of a published document, divided into parts. The version's digest covers
+ * the names and digests of the parts in their order, so a complete set of intact parts
+ * proves itself.
+ *
+ * @param channel which document
+ * @param version revision and digest
+ * @param parts all parts in order
+ */
+public record Document(Channel channel, Version version, List<Part> parts) {
+
+	/**
+	 * Creates the document of parts and computes its digest.
+	 * @param channel which document
+	 * @param revision the platform's revision
+	 * @param parts all parts in order
+	 * @return the document
+	 */
+	public static Document of(Channel channel, long revision, List<Part> parts) {
+		return new Document(channel, new Version(revision, digest(parts)), List.copyOf(parts));
+	}
+
+	/**
+	 * Tells whether parts and digests fit together.
+	 * @return false when any part, or the list of parts, was damaged on its way
+	 */
+	public boolean isIntact() {
+		return this.parts.stream().allMatch(Part::isIntact) && digest(this.parts).equals(this.version.digest());
+	}
+
+	private static Digest digest(List<Part> parts) {
+		ByteArrayOutputStream manifest = new ByteArrayOutputStream();
+		for (Part part : parts) {
+			manifest.writeBytes(part.name().getBytes(StandardCharsets.UTF_8));
+			manifest.write(0);
+			manifest.writeBytes(part.digest().bytes());
+		}
+		return Digest.of(manifest.toByteArray());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/text/DocumentSplitter.java
@@ -0,0 +1,112 @@
+package org.eelgrasspitch.text;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Divides documents into parts and joins parts into documents again.
+ * <p>
+ * A text becomes a header part, with everything except the services, and one part for
+ * each service in the order written. A VM list becomes one part for each failure domain,
+ * in alphabetical order. Each part is compact JSON without comments, so that reformatting
+ * the text changes no digest. A change to one service thus moves two small parts (the
+ * service and, when {@code base} changed, the header) instead of the whole text.
+ * <p>
+ * Joining yields a document that the ordinary parsers read, so a node that received parts
+ * checks them exactly as a node that read the platform.
+ */
+final class DocumentSplitter {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper(
+			new JsonFactoryBuilder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+				.enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+				.build());
+
+	private static final String HEADER = "";
+
+	private static final String SERVICES = "services";
+
+	private static final String VMS = "vms";
+
+	private DocumentSplitter() {
+	}
+
+	/**
+	 * Divides a document that its parser accepted.
+	 * @param channel which document
+	 * @param content the whole document
+	 * @return its parts
+	 */
+	static List<Part> split(Channel channel, byte[] content) {
+		try {
+			ObjectNode root = (ObjectNode) MAPPER.readTree(content);
+			return switch (channel) {
+				case TEXT -> splitText(root);
+				case VMS -> splitVms(root);
+			};
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("an accepted document no longer parses", ex);
+		}
+	}
+
+	/**
+	 * Joins parts into one document.
+	 * @param channel which document
+	 * @param parts intact parts in order
+	 * @return the document for the channel's parser
+	 * @throws IOException if a part is not the JSON expected
+	 */
+	static byte[] join(Channel channel, List<Part> parts) throws IOException {
+		ObjectNode root = MAPPER.createObjectNode();
+		ArrayNode array = MAPPER.createArrayNode();
+		for (Part part : parts) {
+			JsonNode node = MAPPER.readTree(part.content());
+			if (node instanceof ArrayNode elements) {
+				array.addAll(elements);
+			}
+			else if (part.name().equals(HEADER) && node instanceof ObjectNode header) {
+				root.setAll(header);
+			}
+			else {
+				array.add(node);
+			}
+		}
+		root.set((channel == Channel.TEXT) ? SERVICES : VMS, array);
+		return MAPPER.writeValueAsBytes(root);
+	}
+
+	private static List<Part> splitText(ObjectNode root) throws IOException {
+		List<Part> parts = new ArrayList<>();
+		JsonNode services = root.remove(SERVICES);
+		parts.add(Part.of(HEADER, MAPPER.writeValueAsBytes(root)));
+		for (JsonNode service : services) {
+			parts.add(Part.of(service.get("name").textValue(), MAPPER.writeValueAsBytes(service)));
+		}
+		return parts;
+	}
+
+	private static List<Part> splitVms(ObjectNode root) throws IOException {
+		Map<String, ArrayNode> groups = new TreeMap<>();
+		for (JsonNode vm : root.get(VMS)) {
+			groups.computeIfAbsent(vm.get("failureDomain").textValue(), (name) -> MAPPER.createArrayNode()).add(vm);
+		}
+		List<Part> parts = new ArrayList<>();
+		for (Map.Entry<String, ArrayNode> group : groups.entrySet()) {
+			parts.add(Part.of(group.getKey(), MAPPER.writeValueAsBytes(group.getValue())));
+		}
+		return parts;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/text/Priority.java
@@ -0,0 +1,28 @@
+package org.eelgrasspitch.text;
+
+/**
+ * Importance of an operation when load must be shed. Lower constants are shed first.
+ */
+public enum Priority {
+
+	/** Checks between services that nobody waits for. */
+	BACKGROUND("background"),
+
+	/** Lookups that a person waits for. */
+	INTERACTIVE("interactive"),
+
+	/** Payments, issuances and publications. */
+	TRANSACTION("transaction");
+
+	private final String word;
+
+	Priority(String word) {
+		this.word = word;
+	}
+
+	@Override
+	public String toString() {
+		return this.word;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/text/VmListParser.java
@@ -0,0 +1,72 @@
+package org.eelgrasspitch.text;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Fields;
+import org.eelgrasspitch.misc.LocatedNode;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.misc.ProblemListener;
+
+/**
+ * Builds a {@link VmList} from located JSON of the shape {@code {"vms": [{"name",
+ * "failureDomain", "service", "address", "state"}]}}, where {@code state} is {@code live}
+ * or {@code leaving}.
+ */
+final class VmListParser {
+
+	/** Most VMs in a list. */
+	static final int MAX_VMS = 20_000;
+
+	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
+
+	private static final String LIVE = "live";
+
+	private static final String LEAVING = "leaving";
+
+	private final ProblemListener listener;
+
+	VmListParser(ProblemListener listener) {
+		this.listener = listener;
+	}
+
+	Optional<VmList> parse(LocatedNode root) {
+		return Fields.of("the VM list", root, this.listener).map(this::list);
+	}
+
+	private VmList list(Fields fields) {
+		Set<String> names = new HashSet<>();
+		List<Vm> vms = new ArrayList<>();
+		for (LocatedNode node : fields.list("vms", 0, MAX_VMS)) {
+			Optional<Vm> vm = Fields.of("a VM", node, this.listener).map(this::vm);
+			if (vm.isPresent() && !names.add(vm.get().name())) {
+				this.listener.report(Problem.of(ErrorType.DUPLICATE_VM, node.position(), vm.get().name()));
+				continue;
+			}
+			vm.ifPresent(vms::add);
+		}
+		fields.refuseUnknown();
+		return new VmList(vms);
+	}
+
+	private Vm vm(Fields fields) {
+		String name = fields.name("name");
+		String failureDomain = fields.name("failureDomain");
+		String service = fields.name("service");
+		String written = fields.text("address");
+		Optional<InetSocketAddress> address = Addresses.parse(written);
+		if (address.isEmpty()) {
+			fields.report(ErrorType.BAD_ADDRESS, fields.position("address"), written);
+		}
+		boolean leaving = LEAVING.equals(fields.word("state", List.of(LIVE, LEAVING)));
+		fields.refuseUnknown();
+		return new Vm(name, failureDomain, service, address.orElse(NO_ADDRESS), leaving);
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/eelgrasspitch/wire/CallCodec.java
@@ -0,0 +1,159 @@
+package org.eelgrasspitch.wire;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Header;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.Ticket;
+import org.eelgrasspitch.text.RouteKey;
+import org.eelgrasspitch.wire.generated.WireCancel;
+import org.eelgrasspitch.wire.generated.WireHeader;
+import org.eelgrasspitch.wire.generated.WireMessage;
+import org.eelgrasspitch.wire.generated.WireOutcomeQuery;
+import org.eelgrasspitch.wire.generated.WireReply;
+import org.eelgrasspitch.wire.generated.WireRequest;
+import org.eelgrasspitch.wire.generated.WireTicketQuery;
+import org.eelgrasspitch.wire.generated.WireTickets;
+
+/**
+ * Translates {@link CallMessage}s to and from Thrift structures.
+ */
+final class CallCodec {
+
+	private static final int ANSWERED = 0;
+
+	private static final int NOT_RUN = 1;
+
+	private static final int UNKNOWN = 2;
+
+	private static final int LATE = 3;
+
+	private static final int MIN_STATUS = 200;
+
+	private static final int MAX_STATUS = 599;
+
+	WireMessage wire(CallMessage message) {
+		return switch (message) {
+			case CallMessage.Request request -> WireMessage.request(wire(request));
+			case CallMessage.Reply reply -> WireMessage.reply(wire(reply));
+			case CallMessage.Cancel cancel -> WireMessage.cancel(new WireCancel(cancel.call()));
+			case CallMessage.TicketQuery query -> WireMessage.ticketQuery(new WireTicketQuery(query.call(),
+					query.route().service(), query.route().operation(), query.count()));
+			case CallMessage.Tickets tickets -> WireMessage.tickets(wire(tickets));
+			case CallMessage.OutcomeQuery query ->
+				WireMessage.outcomeQuery(new WireOutcomeQuery(query.call(), query.ticket().written()));
+		};
+	}
+
+	CallMessage message(WireMessage message) throws MalformedFrameException {
+		return switch (message.getSetField()) {
+			case REQUEST -> request(message.getRequest());
+			case REPLY -> reply(message.getReply());
+			case CANCEL -> new CallMessage.Cancel(message.getCancel().getCall());
+			case TICKET_QUERY -> ticketQuery(message.getTicketQuery());
+			case TICKETS -> tickets(message.getTickets());
+			case OUTCOME_QUERY -> new CallMessage.OutcomeQuery(message.getOutcomeQuery().getCall(),
+					ticket(message.getOutcomeQuery().getTicket()));
+			default -> throw new MalformedFrameException("not about requests: " + message.getSetField());
+		};
+	}
+
+	private static WireRequest wire(CallMessage.Request request) {
+		WireRequest wire = new WireRequest(request.call(), request.requestId(), request.route().service(),
+				request.route().operation(), request.remainingMillis(), wire(request.headers()),
+				ByteBuffer.wrap(request.body()), request.revision());
+		request.ticket().ifPresent((ticket) -> wire.setTicket(ticket.written()));
+		return wire;
+	}
+
+	private static List<WireHeader> wire(List<Header> headers) {
+		return headers.stream().map((header) -> new WireHeader(header.name(), header.value())).toList();
+	}
+
+	private static WireReply wire(CallMessage.Reply reply) {
+		WireReply wire = new WireReply().setCall(reply.call()).setRevision(reply.revision());
+		return switch (reply.outcome()) {
+			case CallOutcome.Answered answered -> wire.setOutcome(ANSWERED)
+				.setStatus(answered.status())
+				.setHeaders(wire(answered.headers()))
+				.setBody(answered.body());
+			case CallOutcome.NotRun notRun ->
+				wire.setOutcome(NOT_RUN).setReason(notRun.reason().ordinal()).setAfterMillis(notRun.retryAfterMillis());
+			case CallOutcome.Unknown unknown -> wire.setOutcome(UNKNOWN).setReason(unknown.reason().ordinal());
+			case CallOutcome.Late late -> wire.setOutcome(LATE).setAfterMillis(late.askAfterMillis());
+		};
+	}
+
+	private static WireTickets wire(CallMessage.Tickets tickets) {
+		WireTickets wire = new WireTickets(tickets.call(), tickets.tickets().stream().map(Ticket::written).toList());
+		tickets.refusal().ifPresent((reason) -> wire.setRefusal(reason.ordinal()));
+		return wire;
+	}
+
+	private static CallMessage.Request request(WireRequest request) throws MalformedFrameException {
+		checkBody(request.getBody());
+		Optional<Ticket> ticket = request.isSetTicket() ? Optional.of(ticket(request.getTicket())) : Optional.empty();
+		return new CallMessage.Request(request.getCall(), request.getRequestId(),
+				new RouteKey(request.getServiceName(), request.getOperationName()), request.getRemainingMillis(),
+				ticket, headers(request.getHeaders()), request.getBody(), request.getRevision());
+	}
+
+	private static CallMessage.Reply reply(WireReply reply) throws MalformedFrameException {
+		CallOutcome outcome = switch (reply.getOutcome()) {
+			case ANSWERED -> answered(reply);
+			case NOT_RUN -> new CallOutcome.NotRun(reason(reply.getReason()), reply.getAfterMillis());
+			case UNKNOWN -> new CallOutcome.Unknown(reason(reply.getReason()));
+			case LATE -> new CallOutcome.Late(reply.getAfterMillis());
+			default -> throw new MalformedFrameException("outcome " + reply.getOutcome());
+		};
+		return new CallMessage.Reply(reply.getCall(), outcome, reply.getRevision());
+	}
+
+	private static CallOutcome answered(WireReply reply) throws MalformedFrameException {
+		if (!reply.isSetBody() || !reply.isSetHeaders() || reply.getStatus() < MIN_STATUS
+				|| reply.getStatus() > MAX_STATUS) {
+			throw new MalformedFrameException("incomplete answer");
+		}
+		checkBody(reply.getBody());
+		return new CallOutcome.Answered(reply.getStatus(), headers(reply.getHeaders()), reply.getBody());
+	}
+
+	private static CallMessage.TicketQuery ticketQuery(WireTicketQuery query) {
+		return new CallMessage.TicketQuery(query.getCall(),
+				new RouteKey(query.getServiceName(), query.getOperationName()), query.getCount());
+	}
+
+	private static CallMessage.Tickets tickets(WireTickets tickets) throws MalformedFrameException {
+		List<Ticket> parsed = new ArrayList<>();
+		for (String written : tickets.getTickets()) {
+			parsed.add(ticket(written));
+		}
+		Optional<Reason> refusal = tickets.isSetRefusal() ? Optional.of(reason(tickets.getRefusal()))
+				: Optional.empty();
+		return new CallMessage.Tickets(tickets.getCall(), parsed, refusal);
+	}
+
+	private static List<Header> headers(List<WireHeader> headers) {
+		return headers.stream().map((header) -> new Header(header.getName(), header.getValue())).toList();
+	}
+
+	private static Ticket ticket(String written) throws MalformedFrameException {
+		return Ticket.parse(written).orElseThrow(() -> new MalformedFrameException("ticket"));
+	}
+
+	private static Reason reason(int ordinal) throws MalformedFrameException {
+		return FrameCodec.constant(Reason.values(), ordinal);
+	}
+
+	private static void checkBody(byte[] body) throws MalformedFrameException {
+		if (body.length > WireLimits.MAX_BODY_BYTES) {
+			throw new MalformedFrameException("body of " + body.length + " bytes");
+		}
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/eelgrasspitch/wire/FrameHandler.java
@@ -0,0 +1,112 @@
+package org.eelgrasspitch.wire;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+
+/**
+ * Handles one connection: exchanges introductions, then passes frames to the listener.
+ * Whatever cannot be understood closes this connection and nothing else.
+ */
+final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private final PeerTransport transport;
+
+	/** Purpose stated in our introduction; null on the accepting side. */
+	private final Purpose purpose;
+
+	private final PeerTransport.DialListener dial;
+
+	/** The connection; null until the other side introduced itself. */
+	private PeerConnection connection;
+
+	FrameHandler(PeerTransport transport, Purpose purpose, PeerTransport.DialListener dial) {
+		this.transport = transport;
+		this.purpose = purpose;
+		this.dial = dial;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		if (this.purpose != null) {
+			introduce(context, this.purpose);
+		}
+		context.executor().schedule(() -> {
+			if (this.connection == null) {
+				context.close();
+			}
+		}, WireLimits.HELLO_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) throws IOException {
+		byte[] content = new byte[buffer.readableBytes()];
+		buffer.readBytes(content);
+		Frame frame = this.transport.codec().decode(content);
+		if (frame instanceof Frame.Hello hello) {
+			open(context, hello);
+			return;
+		}
+		if (this.connection == null) {
+			throw new MalformedFrameException("no introduction");
+		}
+		this.transport.traffic().received(this.connection.purpose(), content.length);
+		this.transport.listener().received(this.connection, frame);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		if (this.connection != null) {
+			this.transport.listener().closed(this.connection);
+		}
+		else if (this.purpose != null) {
+			this.dial.failed();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		Throwable root = (cause.getCause() instanceof MalformedFrameException) ? cause.getCause() : cause;
+		String remote = String.valueOf(context.channel().remoteAddress());
+		if (root instanceof MalformedFrameException malformed) {
+			this.transport.listener().malformed(remote, malformed.problem());
+		}
+		else if (root instanceof TooLongFrameException) {
+			this.transport.listener()
+				.malformed(remote, Problem.of(ErrorType.FRAME_TOO_LARGE, Position.UNKNOWN, WireLimits.MAX_FRAME_BYTES));
+		}
+		else if (!(root instanceof IOException)) {
+			this.transport.listener()
+				.malformed(remote, Problem.of(ErrorType.FRAME_MALFORMED, Position.UNKNOWN, root.toString()));
+		}
+		context.close();
+	}
+
+	private void open(ChannelHandlerContext context, Frame.Hello hello) throws MalformedFrameException {
+		if (this.connection != null) {
+			throw new MalformedFrameException("second introduction");
+		}
+		boolean outbound = this.purpose != null;
+		if (!outbound) {
+			introduce(context, hello.purpose());
+		}
+		this.connection = new PeerConnection(context.channel(), hello, outbound, this.transport.codec(),
+				this.transport.traffic());
+		this.dial.opened(this.connection);
+		this.transport.listener().opened(this.connection);
+	}
+
+	private void introduce(ChannelHandlerContext context, Purpose stated) {
+		byte[] hello = this.transport.codec().encode(new Frame.Hello(this.transport.self(), stated));
+		context.writeAndFlush(Unpooled.wrappedBuffer(hello));
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/eelgrasspitch/wire/PartCompressor.java
@@ -0,0 +1,83 @@
+package org.eelgrasspitch.wire;
+
+import java.io.ByteArrayOutputStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.text.Part;
+
+/**
+ * Compresses parts and remembers the latest results, because a reader sends the same part
+ * to every node of its failure domain.
+ */
+final class PartCompressor {
+
+	private static final int MAX_CACHED_BYTES = 2 * 1024 * 1024;
+
+	private static final int CHUNK_BYTES = 8_192;
+
+	/** Compressed contents by digest, the least recently used first. */
+	private final Map<Digest, byte[]> cache = new LinkedHashMap<>(16, 0.75f, true);
+
+	/** Total length of the cached contents, in bytes. */
+	private int cachedBytes;
+
+	synchronized byte[] compress(Part part) {
+		byte[] known = this.cache.get(part.digest());
+		if (known != null) {
+			return known;
+		}
+		byte[] compressed = deflate(part.content());
+		this.cache.put(part.digest(), compressed);
+		this.cachedBytes += compressed.length;
+		while (this.cachedBytes > MAX_CACHED_BYTES) {
+			Digest eldest = this.cache.keySet().iterator().next();
+			this.cachedBytes -= this.cache.remove(eldest).length;
+		}
+		return compressed;
+	}
+
+	static byte[] expand(byte[] compressed, int length) throws MalformedFrameException {
+		if (length < 0 || length > WireLimits.MAX_PART_BYTES) {
+			throw new MalformedFrameException("part of " + length + " bytes");
+		}
+		byte[] content = new byte[length];
+		Inflater inflater = new Inflater();
+		try {
+			inflater.setInput(compressed);
+			int expanded = inflater.inflate(content);
+			if (expanded != length || (length > 0 && inflater.inflate(new byte[1]) != 0) || !inflater.finished()) {
+				throw new MalformedFrameException("part does not have the length it claims");
+			}
+			return content;
+		}
+		catch (DataFormatException ex) {
+			throw new MalformedFrameException("part does not expand");
+		}
+		finally {
+			inflater.end();
+		}
+	}
+
+	private static byte[] deflate(byte[] content) {
+		Deflater deflater = new Deflater();
+		try {
+			deflater.setInput(content);
+			deflater.finish();
+			ByteArrayOutputStream output = new ByteArrayOutputStream();
+			byte[] chunk = new byte[CHUNK_BYTES];
+			while (!deflater.finished()) {
+				output.write(chunk, 0, deflater.deflate(chunk));
+			}
+			return output.toByteArray();
+		}
+		finally {
+			deflater.end();
+		}
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/thrift/eelgrasspitch.thrift
@@ -0,0 +1,122 @@
+// Messages between nodes. Every frame is one WireMessage in Thrift's compact protocol.
+// Generate with: thrift --gen java:generated_annotations=suppress -out <java root> eelgrasspitch.thrift
+namespace java org.eelgrasspitch.wire.generated
+
+struct WireVersion {
+  1: required i64 revision
+  2: required binary digest
+}
+
+// First message on a connection, in both directions.
+struct WireHello {
+  1: required string vm
+  2: required string failureDomain
+  3: required string address
+  4: required i64 incarnation
+  // 0: published documents; 1: requests
+  5: required i32 purpose
+}
+
+struct WireStatus {
+  1: optional WireVersion text
+  2: optional WireVersion vms
+  3: required i64 evidenceAgeMillis
+  4: required i64 rejectedRevision
+  5: required bool leaving
+  6: required i64 nonce
+}
+
+struct WireQuery {
+  1: required i64 nonce
+}
+
+struct WirePull {
+  1: required i32 channel
+  2: required list<binary> held
+}
+
+struct WirePartName {
+  1: required string name
+  2: required binary digest
+}
+
+struct WirePart {
+  1: required string name
+  2: required binary digest
+  // Length before compression, in bytes.
+  3: required i32 length
+  // Deflated content.
+  4: required binary content
+}
+
+struct WireParts {
+  1: required i32 channel
+  2: optional WireVersion version
+  3: required list<WirePartName> manifest
+  4: required list<WirePart> parts
+}
+
+struct WireHeader {
+  1: required string name
+  2: required string value
+}
+
+struct WireRequest {
+  1: required i64 call
+  2: required string requestId
+  3: required string serviceName
+  4: required string operationName
+  5: required i32 remainingMillis
+  6: optional string ticket
+  7: required list<WireHeader> headers
+  8: required binary body
+  9: required i64 revision
+}
+
+struct WireReply {
+  1: required i64 call
+  // 0: answered; 1: not run; 2: unknown; 3: late
+  2: required i32 outcome
+  3: optional i32 status
+  4: optional list<WireHeader> headers
+  5: optional binary body
+  6: optional i32 reason
+  7: optional i64 afterMillis
+  8: required i64 revision
+}
+
+struct WireCancel {
+  1: required i64 call
+}
+
+struct WireTicketQuery {
+  1: required i64 call
+  2: required string serviceName
+  3: required string operationName
+  4: required i32 count
+}
+
+struct WireTickets {
+  1: required i64 call
+  2: required list<string> tickets
+  3: optional i32 refusal
+}
+
+struct WireOutcomeQuery {
+  1: required i64 call
+  2: required string ticket
+}
+
+union WireMessage {
+  1: WireHello hello
+  2: WireStatus status
+  3: WireQuery query
+  4: WirePull pull
+  5: WireParts parts
+  6: WireRequest request
+  7: WireReply reply
+  8: WireCancel cancel
+  9: WireTicketQuery ticketQuery
+  10: WireTickets tickets
+  11: WireOutcomeQuery outcomeQuery
+}
