--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
@@ -0,0 +1,71 @@
+package org.eelgrasspitch.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.testkit.Json;
+import org.eelgrasspitch.text.TextTool;
+
+/**
+ * Checks a text and prints every problem with its place and code.
+ */
+final class CheckCommand implements Command {
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("check").help("check a text before publishing it");
+		parser.description("Checks a text and prints every problem at once. Exit code 0: acceptable; 1: errors; "
+				+ "3: unreadable. Example: eelgrasspitch check examples/ulaanbaatar/text.jsonc");
+		parser.addArgument("file").help("the text");
+		parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON object per problem");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		Path file = Path.of(arguments.getString("file"));
+		CollectingProblemListener listener = new CollectingProblemListener();
+		try {
+			TextTool.parse(Files.readAllBytes(file), listener);
+		}
+		catch (IOException ex) {
+			System.err.println("cannot read " + file + ": " + ex);
+			return ExitCode.UNAVAILABLE;
+		}
+		for (Problem problem : listener.problems()) {
+			System.out.println(arguments.getBoolean("json") ? Json.write(Report.of(problem)) : file + ":" + problem);
+		}
+		if (listener.hasErrors()) {
+			return ExitCode.FAILED;
+		}
+		if (!arguments.getBoolean("json")) {
+			System.out.println(file + ": acceptable");
+		}
+		return ExitCode.OK;
+	}
+
+	/**
+	 * A problem as programs read it.
+	 *
+	 * @param line line number, from 1
+	 * @param column column number, from 1
+	 * @param code code of the error
+	 * @param severity severity in lower case
+	 * @param message what is wrong
+	 */
+	record Report(int line, int column, int code, String severity, String message) {
+
+		static Report of(Problem problem) {
+			return new Report(problem.position().line(), problem.position().column(), problem.type().code(),
+					problem.type().severity().name().toLowerCase(java.util.Locale.ROOT), problem.message());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/DemoCommand.java
@@ -0,0 +1,43 @@
+package org.eelgrasspitch.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.testkit.Demo;
+
+/**
+ * Runs the demonstration.
+ */
+final class DemoCommand implements Command {
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("demo").help("run a whole deployment on this machine and check it");
+		parser.description("Starts platform, targets and nodes as processes on loopback addresses, drives callers, "
+				+ "changes the configuration and prints what was measured. Exit code 0 only when every promise held. "
+				+ "Example: eelgrasspitch demo --deployment examples/muscat");
+		parser.addArgument("--deployment").setDefault("examples/ulaanbaatar").help("directory of the deployment");
+		parser.addArgument("--logs").help("directory for the output of the processes");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		try {
+			String logs = arguments.getString("logs");
+			Path directory = (logs != null) ? Files.createDirectories(Path.of(logs))
+					: Files.createTempDirectory("eelgrasspitch-demo");
+			System.out.println("logs in " + directory);
+			boolean held = Demo.run(Path.of(arguments.getString("deployment")), directory, System.out);
+			return held ? ExitCode.OK : ExitCode.FAILED;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Forever.java
@@ -0,0 +1,37 @@
+package org.eelgrasspitch.cli;
+
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * Keeps a daemon's main thread waiting until the process is told to end.
+ */
+final class Forever {
+
+	private Forever() {
+	}
+
+	static int serve(AutoCloseable resource) {
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> close(resource), "close"));
+		return block();
+	}
+
+	static int block() {
+		try {
+			new CountDownLatch(1).await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return ExitCode.OK;
+	}
+
+	private static void close(AutoCloseable resource) {
+		try {
+			resource.close();
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Main.java
@@ -0,0 +1,65 @@
+package org.eelgrasspitch.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/**
+ * Entry point of the command line.
+ */
+public final class Main {
+
+	private static final String COMMAND = "command";
+
+	private Main() {
+	}
+
+	/**
+	 * Runs one command and exits with its code.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(run(arguments));
+	}
+
+	/**
+	 * Runs one command.
+	 * @param arguments the command line
+	 * @return the exit code
+	 */
+	public static int run(String... arguments) {
+		Map<String, Command> commands = commands();
+		ArgumentParser parser = ArgumentParsers.newFor("eelgrasspitch")
+			.build()
+			.defaultHelp(true)
+			.description("Distributes configuration for a service mesh and routes its requests.");
+		Subparsers parsers = parser.addSubparsers().title("commands").dest(COMMAND).metavar("COMMAND");
+		commands.values().forEach((command) -> command.register(parsers));
+		try {
+			Namespace parsed = parser.parseArgs(arguments);
+			return commands.get(parsed.getString(COMMAND)).run(parsed);
+		}
+		catch (ArgumentParserException ex) {
+			parser.handleError(ex);
+			boolean helped = List.of(arguments).contains("--help") || List.of(arguments).contains("-h");
+			return helped ? ExitCode.OK : ExitCode.USAGE;
+		}
+	}
+
+	private static Map<String, Command> commands() {
+		Map<String, Command> commands = new LinkedHashMap<>();
+		commands.put("check", new CheckCommand());
+		commands.put("node", new NodeCommand());
+		commands.put("demo", new DemoCommand());
+		commands.put("platform-stand-in", new PlatformStandInCommand());
+		commands.put("target-stand-in", new TargetStandInCommand());
+		return commands;
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/NodeCommand.java
@@ -0,0 +1,49 @@
+package org.eelgrasspitch.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import io.vavr.control.Either;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.node.Node;
+import org.eelgrasspitch.node.NodeSettings;
+import org.eelgrasspitch.node.SettingsParser;
+
+/**
+ * Runs a node until it is asked to end; then it leaves in an orderly way.
+ */
+final class NodeCommand implements Command {
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("node").help("run a node");
+		parser.description("Runs the node of one VM. SIGTERM makes it finish requests in flight, up to drainMillis. "
+				+ "Example: eelgrasspitch node --settings examples/ulaanbaatar/nodes/renewals-1.jsonc");
+		parser.addArgument("--settings").required(true).help("file with the node's settings");
+		parser.addArgument("--check-settings")
+			.action(Arguments.storeTrue())
+			.help("only check the settings and print every problem");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		Path file = Path.of(arguments.getString("settings"));
+		Either<List<Problem>, NodeSettings> settings = SettingsParser.read(file);
+		if (settings.isLeft()) {
+			settings.getLeft().forEach((problem) -> System.err.println(file + ":" + problem));
+			return ExitCode.FAILED;
+		}
+		if (arguments.getBoolean("check_settings")) {
+			System.out.println(file + ": acceptable");
+			return ExitCode.OK;
+		}
+		Node node = Node.start(settings.get());
+		Runtime.getRuntime().addShutdownHook(new Thread(node::leave, "leave"));
+		return Forever.block();
+	}
+
+}
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
@@ -43,4 +43,26 @@
 				1_500, 800, 15_000, 2_000, 5_000, 5_000, 10_000, 3_000);
 	}
 
+	/**
+	 * Returns these settings with another share of the platform.
+	 * @param callsPerSecond the whole fleet's share, in calls per second
+	 * @return the changed settings
+	 */
+	public FleetSettings withPlatformCalls(double callsPerSecond) {
+		return new FleetSettings(this.self, this.seeds, this.distribution, callsPerSecond, this.tickMillis,
+				this.pauseMillis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+	}
+
+	/**
+	 * Returns these settings with another pause bound.
+	 * @param millis gap between events from which the process counts as paused
+	 * @return the changed settings
+	 */
+	public FleetSettings withPauseMillis(long millis) {
+		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
+				millis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+	}
+
 }
--- a/core/src/main/java/org/eelgrasspitch/request/TargetChooser.java
+++ b/core/src/main/java/org/eelgrasspitch/request/TargetChooser.java
@@ -108,7 +108,9 @@
 		target.ended();
 		switch (outcome) {
 			case CallOutcome.Answered answered -> target.answered(tookMillis);
-			case CallOutcome.Late late -> target.answered(tookMillis);
+			case CallOutcome.Late late -> {
+				// Still running: its latency is not known yet.
+			}
 			case CallOutcome.NotRun notRun -> refused(target, notRun.reason(), now);
 			case CallOutcome.Unknown unknown -> target.failed(now);
 		}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerFront.java
@@ -0,0 +1,81 @@
+package org.eelgrasspitch.node;
+
+import java.util.Optional;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.vavr.control.Either;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.request.Ticket;
+import org.eelgrasspitch.text.RouteKey;
+
+/**
+ * The HTTP side for callers. {@code /{service}/{operation}} runs an operation;
+ * {@code /-/tickets/{service}/{operation}} issues tickets; {@code /-/outcomes/{ticket}}
+ * tells what became of an at-most-once request. Nothing here blocks an event loop.
+ */
+final class CallerFront {
+
+	private static final int DEFAULT_TICKETS = 1;
+
+	private CallerFront() {
+	}
+
+	/**
+	 * Creates the application.
+	 * @param entry handles the requests
+	 * @return the application, not started
+	 */
+	static Jooby create(EntryService entry) {
+		Jooby app = new Jooby();
+		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+		app.post("/-/tickets/{service}/{operation}", (context) -> tickets(entry, context));
+		app.get("/-/outcomes/{ticket}", (context) -> outcome(entry, context));
+		app.post("/{service}/{operation}", (context) -> request(entry, context));
+		app.get("/{service}/{operation}", (context) -> request(entry, context));
+		return app;
+	}
+
+	private static Object request(EntryService entry, Context context) throws Exception {
+		Either<Problem, CallerRequest> read = HttpRequests.read(context);
+		if (read.isLeft()) {
+			HttpAnswers.wrong(context, read.getLeft());
+			return context;
+		}
+		CallerRequest request = read.get();
+		return context.detach((detached) -> {
+			entry.handle(request, (reply) -> HttpAnswers.send(context, request.requestId(), reply));
+			return context;
+		});
+	}
+
+	private static Object tickets(EntryService entry, Context context) throws Exception {
+		RouteKey route = new RouteKey(context.path("service").value(), context.path("operation").value());
+		int count = context.query("count")
+			.toOptional()
+			.filter((text) -> text.matches("\\d{1,3}"))
+			.map(Integer::valueOf)
+			.orElse(DEFAULT_TICKETS);
+		return context.detach((detached) -> {
+			entry.tickets(route, count, (tickets) -> HttpAnswers.tickets(context, tickets));
+			return context;
+		});
+	}
+
+	private static Object outcome(EntryService entry, Context context) throws Exception {
+		String written = context.path("ticket").value();
+		Optional<Ticket> ticket = Ticket.parse(written);
+		if (ticket.isEmpty()) {
+			HttpAnswers.wrong(context, Problem.of(ErrorType.BAD_TICKET, Position.UNKNOWN, "outcome path"));
+			return context;
+		}
+		return context.detach((detached) -> {
+			entry.outcome(ticket.get(), (outcome) -> HttpAnswers.send(context, outcome, ticket));
+			return context;
+		});
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/ControlLoop.java
@@ -0,0 +1,240 @@
+package org.eelgrasspitch.node;
+
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.eelgrasspitch.fleet.FleetEffect;
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.fleet.FleetMember;
+import org.eelgrasspitch.fleet.FleetView;
+import org.eelgrasspitch.fleet.NoteKind;
+import org.eelgrasspitch.misc.TimeSource;
+import org.eelgrasspitch.node.EventLog.Field;
+import org.eelgrasspitch.wire.Frame;
+import org.eelgrasspitch.wire.PeerConnection;
+import org.eelgrasspitch.wire.PeerTransport;
+import org.eelgrasspitch.wire.Purpose;
+
+/**
+ * The one thread for control state. It takes events from a bounded mailbox, lets the
+ * {@link FleetMember} decide, and carries out the effects. Traffic threads see the
+ * results only through {@link NodeState}.
+ * <p>
+ * When the mailbox is full an event is dropped and counted. That is safe because every
+ * state is told again: peers repeat their status as heartbeat, and platform calls time
+ * out.
+ */
+final class ControlLoop implements AutoCloseable {
+
+	private static final int MAILBOX_CAPACITY = 20_000;
+
+	private static final long JOIN_MILLIS = 2_000;
+
+	private final BlockingQueue<Message> mailbox = new LinkedBlockingQueue<>(MAILBOX_CAPACITY);
+
+	/** Open connections for documents, by their number. */
+	private final Map<Long, PeerConnection> connections = new ConcurrentHashMap<>();
+
+	private final FleetMember member;
+
+	private final NodeContext context;
+
+	private final TimeSource time;
+
+	private final long tickMillis;
+
+	private final Thread thread;
+
+	/** The dialling side; set before {@link #start}. */
+	private PeerTransport transport;
+
+	/** The platform client; set before {@link #start}. */
+	private PlatformClient platform;
+
+	private volatile boolean stopping;
+
+	ControlLoop(FleetMember member, NodeContext context, long tickMillis) {
+		this.member = member;
+		this.context = context;
+		this.time = context.time();
+		this.tickMillis = tickMillis;
+		this.thread = new Thread(this::run, "control");
+	}
+
+	void start(PeerTransport startedTransport, PlatformClient startedPlatform) {
+		this.transport = startedTransport;
+		this.platform = startedPlatform;
+		this.thread.start();
+	}
+
+	/**
+	 * Puts an event into the mailbox.
+	 * @param event the event
+	 */
+	void post(FleetEvent event) {
+		if (!this.mailbox.offer(new Message.Happened(event))) {
+			this.context.log().warn("mailbox_full");
+		}
+	}
+
+	/**
+	 * Asks for a consistent view of the member.
+	 * @return completes on the control thread
+	 */
+	CompletableFuture<FleetView> view() {
+		CompletableFuture<FleetView> result = new CompletableFuture<>();
+		if (!this.mailbox.offer(new Message.ViewWanted(result))) {
+			result.completeExceptionally(new IllegalStateException("the control mailbox is full"));
+		}
+		return result;
+	}
+
+	/**
+	 * Takes a connection that another node opened.
+	 * @param connection the connection
+	 */
+	void accepted(PeerConnection connection) {
+		opened(connection, null);
+	}
+
+	private void opened(PeerConnection connection, InetSocketAddress dialled) {
+		this.connections.put(connection.id(), connection);
+		post(new FleetEvent.LinkOpened(connection.id(), connection.peer(), dialled != null, dialled));
+	}
+
+	void closed(PeerConnection connection) {
+		this.connections.remove(connection.id());
+		post(new FleetEvent.LinkClosed(connection.id()));
+	}
+
+	@Override
+	public void close() {
+		this.stopping = true;
+		this.thread.interrupt();
+		try {
+			this.thread.join(JOIN_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run() {
+		long nextTick = this.time.monotonicMillis();
+		while (!this.stopping) {
+			try {
+				long wait = Math.max(0, nextTick - this.time.monotonicMillis());
+				Message message = this.mailbox.poll(wait, TimeUnit.MILLISECONDS);
+				if (message != null) {
+					handle(message);
+				}
+				long now = this.time.monotonicMillis();
+				if (now >= nextTick) {
+					nextTick = now + this.tickMillis;
+					handle(new Message.Happened(new FleetEvent.Ticked()));
+				}
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			catch (RuntimeException ex) {
+				this.context.broken("control", ex);
+			}
+		}
+	}
+
+	private void handle(Message message) {
+		switch (message) {
+			case Message.Happened happened -> {
+				long now = this.time.monotonicMillis();
+				this.member.handle(happened.event(), now).forEach(this::carryOut);
+				this.context.state().alive(now);
+			}
+			case Message.ViewWanted wanted -> wanted.result().complete(this.member.view(this.time.monotonicMillis()));
+		}
+	}
+
+	private void carryOut(FleetEffect effect) {
+		switch (effect) {
+			case FleetEffect.OpenLink open -> open(open);
+			case FleetEffect.CloseLink close -> close(close);
+			case FleetEffect.Send send -> send(send);
+			case FleetEffect.CallPlatform call -> this.platform.call(call);
+			case FleetEffect.PublishText publish -> {
+				this.context.state().publish(publish.snapshot());
+				this.context.metrics().textRevision(publish.snapshot().version().revision());
+			}
+			case FleetEffect.PublishVms publish -> this.context.state().publish(publish.vms());
+			case FleetEffect.LifeChanged changed -> {
+				this.context.metrics().lifeState(changed.state().ordinal());
+				this.context.log().info("life_changed", Field.of("state", changed.state()));
+				this.context.state().change(changed.state());
+			}
+			case FleetEffect.Note note -> note(note);
+		}
+	}
+
+	private void open(FleetEffect.OpenLink open) {
+		this.transport.dial(open.address(), this.context.settings().sourceAddress().orElse(null), Purpose.FLEET,
+				(connection) -> opened(connection, open.address()),
+				() -> post(new FleetEvent.LinkFailed(open.address())));
+	}
+
+	private void close(FleetEffect.CloseLink close) {
+		PeerConnection connection = this.connections.get(close.link());
+		if (connection != null) {
+			connection.close();
+		}
+	}
+
+	private void send(FleetEffect.Send send) {
+		PeerConnection connection = this.connections.get(send.link());
+		if (connection != null) {
+			connection.send(new Frame.Fleet(send.message()));
+		}
+	}
+
+	private void note(FleetEffect.Note note) {
+		this.context.metrics().noted(note.kind());
+		String event = note.kind().name().toLowerCase(Locale.ROOT);
+		Field detail = Field.of("detail", note.detail());
+		if (note.kind() == NoteKind.VERSION_ACCEPTED || note.kind() == NoteKind.ROLE_CHANGED) {
+			this.context.log().info(event, detail);
+		}
+		else {
+			this.context.log().warn(event, detail);
+		}
+	}
+
+	/**
+	 * What the mailbox holds.
+	 */
+	private sealed interface Message {
+
+		/**
+		 * An event for the member.
+		 *
+		 * @param event the event
+		 */
+		record Happened(FleetEvent event) implements Message {
+
+		}
+
+		/**
+		 * Somebody wants a view of the member.
+		 *
+		 * @param result receives it
+		 */
+		record ViewWanted(CompletableFuture<FleetView> result) implements Message {
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
@@ -0,0 +1,216 @@
+package org.eelgrasspitch.node;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.netty.util.Timeout;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.RetryPolicy;
+import org.eelgrasspitch.request.Ticket;
+import org.eelgrasspitch.text.Operation;
+import org.eelgrasspitch.text.OperationKind;
+import org.eelgrasspitch.text.Route;
+import org.eelgrasspitch.text.Snapshot;
+import org.eelgrasspitch.text.Vm;
+
+/**
+ * One caller's request at its entry node. It keeps the snapshot with which it started.
+ * <p>
+ * An idempotent request goes to a chosen target and, when {@link RetryPolicy} permits, to
+ * further ones. An at-most-once request goes to the home of its ticket and nowhere else.
+ * At the deadline the caller is answered at once and whoever still works on the request
+ * is told; an at-most-once request that is only late goes on, and its caller learns where
+ * to ask.
+ * <p>
+ * A refusal says "not run" only if every attempt of this call certainly did not run.
+ */
+final class EntryCall {
+
+	private static final long ASK_AFTER_MILLIS = 1_000;
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private final EntryService entry;
+
+	private final Snapshot snapshot;
+
+	private final Route route;
+
+	private final CallerRequest request;
+
+	private final OnceConsumer<EntryReply> reply;
+
+	private final long deadlineAt;
+
+	/** Names of the VMs tried so far. */
+	private final Set<String> tried = new HashSet<>();
+
+	/** True once an attempt ended without knowing whether it ran. */
+	private boolean maybeRan;
+
+	/** The attempt in progress; null before the first. */
+	private volatile CallClient.PendingCall pending;
+
+	/** Takes the outcome of the attempt in progress; null before the first. */
+	private volatile OnceConsumer<CallOutcome> attempt;
+
+	/** Fires at the deadline. */
+	private Timeout deadline;
+
+	/** Fires when the answer is late; null when the operation has no such time. */
+	private Timeout late;
+
+	EntryCall(EntryService entry, Snapshot snapshot, Route route, CallerRequest request, Consumer<EntryReply> reply) {
+		this.entry = entry;
+		this.snapshot = snapshot;
+		this.route = route;
+		this.request = request;
+		this.reply = new OnceConsumer<>(reply);
+		int limit = route.operation().deadlineMillis();
+		this.deadlineAt = entry.now() + request.timeoutMillis().map((wanted) -> Math.min(wanted, limit)).orElse(limit);
+	}
+
+	void start() {
+		this.deadline = this.entry.after(remainingMillis(), this::deadlinePassed);
+		this.entry.budget().attempted();
+		if (!isAtMostOnce()) {
+			attempt();
+			return;
+		}
+		Operation operation = this.route.operation();
+		if (operation.lateAfterMillis() < remainingMillis()) {
+			this.late = this.entry.after(operation.lateAfterMillis(),
+					() -> end(new CallOutcome.Late(ASK_AFTER_MILLIS)));
+		}
+		Ticket ticket = this.request.ticket().get();
+		send(ticket.home(), ticket.address());
+	}
+
+	private void attempt() {
+		Optional<Vm> vm = this.entry.choose(this.route.service(), this.tried);
+		if (vm.isEmpty()) {
+			end(new CallOutcome.NotRun(Reason.NO_TARGET, RETRY_AFTER_MILLIS));
+			return;
+		}
+		send(vm.get().name(), vm.get().address());
+	}
+
+	private void send(String vm, InetSocketAddress address) {
+		int remaining = (int) remainingMillis();
+		if (remaining <= 0) {
+			end(new CallOutcome.NotRun(Reason.DEADLINE_PASSED, 0));
+			return;
+		}
+		this.tried.add(vm);
+		this.entry.started(vm);
+		long sentAt = this.entry.now();
+		OnceConsumer<CallOutcome> ended = new OnceConsumer<>((outcome) -> ended(vm, sentAt, outcome));
+		this.attempt = ended;
+		this.pending = this.entry.send(vm, address,
+				(call) -> new CallMessage.Request(call, this.request.requestId(), this.request.route(), remaining,
+						this.request.ticket().filter((ticket) -> isAtMostOnce()), this.request.headers(),
+						this.request.body(), this.snapshot.version().revision()),
+				new Attempt(ended));
+	}
+
+	private void ended(String vm, long sentAt, CallOutcome outcome) {
+		this.entry.ended(vm, outcome, this.entry.now() - sentAt);
+		if (this.reply.isDone()) {
+			this.deadline.cancel();
+			return;
+		}
+		this.maybeRan |= outcome instanceof CallOutcome.Unknown;
+		boolean retry = remainingMillis() > 0
+				&& RetryPolicy.mayRetry(this.route.operation().kind(), outcome, this.tried.size(), this.entry.budget());
+		if (retry) {
+			this.entry.context().metrics().retried();
+			attempt();
+			return;
+		}
+		end(outcome);
+	}
+
+	private void deadlinePassed() {
+		this.maybeRan = true;
+		end(new CallOutcome.Unknown(Reason.DEADLINE_PASSED));
+		CallClient.PendingCall running = this.pending;
+		if (running != null && !isAtMostOnce()) {
+			running.abandon();
+		}
+		OnceConsumer<CallOutcome> unsettled = this.attempt;
+		if (unsettled != null) {
+			unsettled.accept(new CallOutcome.Unknown(Reason.DEADLINE_PASSED));
+		}
+	}
+
+	private void end(CallOutcome outcome) {
+		if (!(outcome instanceof CallOutcome.Late)) {
+			this.deadline.cancel();
+		}
+		if (this.late != null) {
+			this.late.cancel();
+		}
+		CallOutcome truthful = truthful(outcome);
+		if (!this.reply.isDone()) {
+			this.entry.context()
+				.metrics()
+				.requestEnded(this.route.service().name(), this.route.operation().name(), truthful);
+		}
+		this.reply.accept(new EntryReply.Ended(truthful, this.request.ticket().filter((ticket) -> isAtMostOnce()),
+				this.snapshot.version().revision()));
+	}
+
+	/**
+	 * Corrects an outcome by what this node knows of earlier attempts: a refusal after an
+	 * attempt that may have run is not "not run", and a first attempt at a process that
+	 * never had it certainly is.
+	 */
+	private CallOutcome truthful(CallOutcome outcome) {
+		if (outcome instanceof CallOutcome.NotRun notRun && this.maybeRan) {
+			return new CallOutcome.Unknown(notRun.reason());
+		}
+		if (isAtMostOnce() && outcome instanceof CallOutcome.NotRun notRun && notRun.reason() == Reason.HOME_UNREACHABLE
+				&& !this.request.firstAttempt()) {
+			return new CallOutcome.Unknown(Reason.HOME_UNREACHABLE);
+		}
+		if (outcome instanceof CallOutcome.Unknown unknown && unknown.reason() == Reason.HOME_RESTARTED
+				&& this.request.firstAttempt()) {
+			return new CallOutcome.NotRun(Reason.HOME_RESTARTED, 0);
+		}
+		return outcome;
+	}
+
+	private boolean isAtMostOnce() {
+		return this.route.operation().kind() == OperationKind.AT_MOST_ONCE;
+	}
+
+	private long remainingMillis() {
+		return this.deadlineAt - this.entry.now();
+	}
+
+	/**
+	 * Receives the end of one attempt.
+	 *
+	 * @param ended receives the outcome
+	 */
+	private record Attempt(Consumer<CallOutcome> ended) implements CallClient.Callback {
+
+		@Override
+		public void replied(CallMessage message) {
+			this.ended.accept((message instanceof CallMessage.Reply answer) ? answer.outcome()
+					: new CallOutcome.Unknown(Reason.ANSWER_LOST));
+		}
+
+		@Override
+		public void failed(CallOutcome outcome) {
+			this.ended.accept(outcome);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -0,0 +1,211 @@
+package org.eelgrasspitch.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import java.util.random.RandomGenerator;
+
+import io.netty.util.HashedWheelTimer;
+import io.netty.util.Timeout;
+import org.eelgrasspitch.fleet.LifeState;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.RetryBudget;
+import org.eelgrasspitch.request.TargetChooser;
+import org.eelgrasspitch.request.Ticket;
+import org.eelgrasspitch.text.OperationKind;
+import org.eelgrasspitch.text.Route;
+import org.eelgrasspitch.text.RouteKey;
+import org.eelgrasspitch.text.Service;
+import org.eelgrasspitch.text.Snapshot;
+import org.eelgrasspitch.text.Vm;
+import org.eelgrasspitch.text.VmList;
+
+/**
+ * Takes callers' requests, chooses targets and sees each request to its end. The work for
+ * one request is in {@link EntryCall}.
+ */
+final class EntryService implements AutoCloseable {
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int PRECONDITION_REQUIRED = 428;
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private static final long TICKET_TIMEOUT_MILLIS = 1_000;
+
+	private static final long TIMER_TICK_MILLIS = 10;
+
+	private final NodeContext context;
+
+	private final HomeService home;
+
+	private final CallClient calls;
+
+	/** Observations of targets; guarded by its own lock. */
+	private final TargetChooser chooser;
+
+	private final RetryBudget budget = new RetryBudget();
+
+	private final HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MILLIS, TimeUnit.MILLISECONDS);
+
+	EntryService(NodeContext context, HomeService home, CallClient calls, RandomGenerator random) {
+		this.context = context;
+		this.home = home;
+		this.calls = calls;
+		this.chooser = new TargetChooser(context.settings().failureDomain(), random);
+		context.state().listen(this::use);
+	}
+
+	/**
+	 * Handles a caller's request.
+	 * @param request the request
+	 * @param reply receives the reply exactly once
+	 */
+	void handle(CallerRequest request, Consumer<EntryReply> reply) {
+		long now = now();
+		if (this.context.state().waitForConfirmation(() -> handle(request, reply), now)) {
+			return;
+		}
+		Optional<Snapshot> snapshot = this.context.state().snapshot();
+		if (snapshot.isEmpty() || this.context.state().life() == LifeState.STARTING) {
+			reply.accept(refused(Reason.NOT_READY));
+			return;
+		}
+		if (isLeaving()) {
+			reply.accept(refused(Reason.LEAVING));
+			return;
+		}
+		Optional<Route> route = snapshot.get().route(request.route());
+		if (route.isEmpty()) {
+			reply.accept(wrong(NOT_FOUND, ErrorType.NO_ROUTE, request.route(), snapshot.get().version()));
+			return;
+		}
+		if (route.get().operation().kind() == OperationKind.AT_MOST_ONCE && request.ticket().isEmpty()) {
+			reply.accept(wrong(PRECONDITION_REQUIRED, ErrorType.TICKET_REQUIRED, request.route()));
+			return;
+		}
+		new EntryCall(this, snapshot.get(), route.get(), request, reply).start();
+	}
+
+	/**
+	 * Obtains tickets for at-most-once requests from the node of a chosen target.
+	 * @param key the operation
+	 * @param count number of tickets
+	 * @param reply receives the tickets or the refusal
+	 */
+	void tickets(RouteKey key, int count, Consumer<CallMessage.Tickets> reply) {
+		Optional<Route> route = this.context.state().snapshot().flatMap((snapshot) -> snapshot.route(key));
+		if (route.isEmpty()) {
+			reply.accept(new CallMessage.Tickets(0, List.of(), Optional.of(Reason.NO_ROUTE)));
+			return;
+		}
+		new TicketCall(this, route.get(), key, count, reply).attempt();
+	}
+
+	/**
+	 * Asks what became of an at-most-once request.
+	 * @param ticket its ticket
+	 * @param reply receives the outcome
+	 */
+	void outcome(Ticket ticket, Consumer<CallOutcome> reply) {
+		OnceConsumer<CallOutcome> once = new OnceConsumer<>(reply);
+		send(ticket.home(), ticket.address(), (call) -> new CallMessage.OutcomeQuery(call, ticket),
+				new OutcomeCallback(once, Reason.HOME_UNREACHABLE));
+		after(TICKET_TIMEOUT_MILLIS, () -> once.accept(new CallOutcome.Unknown(Reason.HOME_UNREACHABLE)));
+	}
+
+	NodeContext context() {
+		return this.context;
+	}
+
+	RetryBudget budget() {
+		return this.budget;
+	}
+
+	long now() {
+		return this.context.time().monotonicMillis();
+	}
+
+	Optional<Vm> choose(Service service, Set<String> tried) {
+		List<Vm> candidates = this.context.state().vms().ofService(service.name());
+		synchronized (this.chooser) {
+			return this.chooser.choose(service, candidates, tried, now());
+		}
+	}
+
+	void started(String vm) {
+		synchronized (this.chooser) {
+			this.chooser.started(vm, now());
+		}
+	}
+
+	void ended(String vm, CallOutcome outcome, long tookMillis) {
+		synchronized (this.chooser) {
+			this.chooser.ended(vm, outcome, tookMillis, now());
+		}
+	}
+
+	Timeout after(long millis, Runnable task) {
+		return this.timer.newTimeout((timeout) -> task.run(), millis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Sends a message to the node of a VM, without the network when that is this node.
+	 * @param vm the VM's name
+	 * @param address its node's address
+	 * @param message creates the message
+	 * @param callback receives the end
+	 * @return a handle to give the call up
+	 */
+	CallClient.PendingCall send(String vm, java.net.InetSocketAddress address, LongFunction<CallMessage> message,
+			CallClient.Callback callback) {
+		if (!vm.equals(this.context.settings().vm())) {
+			return this.calls.call(address, message, callback);
+		}
+		switch (message.apply(0)) {
+			case CallMessage.Request request -> this.home.handle(request,
+					(outcome) -> callback.replied(new CallMessage.Reply(0, outcome, this.context.state().revision())));
+			case CallMessage.TicketQuery query -> callback.replied(this.home.tickets(query));
+			case CallMessage.OutcomeQuery query -> callback
+				.replied(new CallMessage.Reply(0, this.home.outcome(query.ticket()), this.context.state().revision()));
+			case CallMessage other -> throw new IllegalStateException("not a question: " + other);
+		}
+		return () -> {
+		};
+	}
+
+	@Override
+	public void close() {
+		this.timer.stop();
+	}
+
+	private void use(VmList list) {
+		synchronized (this.chooser) {
+			this.chooser.use(list, now());
+		}
+	}
+
+	private boolean isLeaving() {
+		LifeState life = this.context.state().life();
+		return life == LifeState.LEAVING || life == LifeState.STOPPED;
+	}
+
+	private EntryReply refused(Reason reason) {
+		return new EntryReply.Ended(new CallOutcome.NotRun(reason, RETRY_AFTER_MILLIS), Optional.empty(),
+				this.context.state().revision());
+	}
+
+	private static EntryReply wrong(int status, ErrorType type, Object... arguments) {
+		return new EntryReply.Wrong(status, Problem.of(type, Position.UNKNOWN, arguments));
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/EventLog.java
@@ -0,0 +1,122 @@
+package org.eelgrasspitch.node;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.eelgrasspitch.misc.TimeSource;
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/**
+ * Writes events as log lines with a stable name and named fields. Each kind of event is
+ * limited to {@link #MAX_PER_SECOND} lines a second; what was left out is counted in the
+ * next line of that kind.
+ */
+public final class EventLog {
+
+	/** Most lines of one kind in a second. */
+	public static final int MAX_PER_SECOND = 20;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private final Logger logger = Logger.getLogger("eelgrasspitch");
+
+	private final TimeSource time;
+
+	private final Map<String, Rate> rates = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a log.
+	 * @param time source of time for the rate limit
+	 */
+	public EventLog(TimeSource time) {
+		this.time = time;
+	}
+
+	/**
+	 * Logs something that operators may want to know.
+	 * @param event stable name in lower case with underscores
+	 * @param fields what to say about it
+	 */
+	public void info(String event, Field... fields) {
+		log(Logger.Level.INFO, event, fields);
+	}
+
+	/**
+	 * Logs something that operators should look at.
+	 * @param event stable name in lower case with underscores
+	 * @param fields what to say about it
+	 */
+	public void warn(String event, Field... fields) {
+		log(Logger.Level.WARN, event, fields);
+	}
+
+	private void log(Logger.Level level, String event, Field... fields) {
+		Rate rate = this.rates.computeIfAbsent(event, (name) -> new Rate());
+		long suppressed = rate.permit(this.time.monotonicMillis() / MILLIS_PER_SECOND);
+		if (suppressed < 0) {
+			return;
+		}
+		for (Field field : fields) {
+			MDC.put(field.name(), field.value());
+		}
+		if (suppressed > 0) {
+			MDC.put("suppressed", Long.toString(suppressed));
+		}
+		this.logger.log(level, event.toLowerCase(Locale.ROOT));
+		MDC.clear();
+	}
+
+	/**
+	 * A named value in a log line.
+	 *
+	 * @param name the field's name
+	 * @param value the field's value
+	 */
+	public record Field(String name, String value) {
+
+		/**
+		 * Creates a field.
+		 * @param name the field's name
+		 * @param value the field's value
+		 * @return the field
+		 */
+		public static Field of(String name, Object value) {
+			return new Field(name, String.valueOf(value));
+		}
+
+	}
+
+	/**
+	 * Counts the lines of one kind in the present second.
+	 */
+	private static final class Rate {
+
+		private final AtomicLong suppressed = new AtomicLong();
+
+		private long second;
+
+		private int lines;
+
+		/**
+		 * Permits a line or counts it as suppressed.
+		 * @param now the present second
+		 * @return lines suppressed since the last permitted one, or -1 when not permitted
+		 */
+		synchronized long permit(long now) {
+			if (now != this.second) {
+				this.second = now;
+				this.lines = 0;
+			}
+			if (++this.lines > MAX_PER_SECOND) {
+				this.suppressed.incrementAndGet();
+				return -1;
+			}
+			return this.suppressed.getAndSet(0);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/HttpAnswers.java
@@ -0,0 +1,161 @@
+package org.eelgrasspitch.node;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.jooby.Context;
+import io.jooby.MediaType;
+import io.jooby.StatusCode;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Header;
+import org.eelgrasspitch.request.Ticket;
+
+/**
+ * Writes outcomes as HTTP answers. Every answer that is not the target's own carries
+ * {@code Request-Ran} ({@code no}, {@code unknown} or {@code running}),
+ * {@code Request-Resend} and, where sending again makes sense, {@code Retry-After}; the
+ * same facts stand in a JSON body.
+ */
+final class HttpAnswers {
+
+	private static final int OK = 200;
+
+	private static final int ACCEPTED = 202;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper().registerModule(new Jdk8Module())
+		.setDefaultPropertyInclusion(JsonInclude.Include.NON_EMPTY);
+
+	private HttpAnswers() {
+	}
+
+	static void send(Context context, String requestId, EntryReply reply) {
+		context.setResponseHeader(HttpRequests.ID, requestId);
+		switch (reply) {
+			case EntryReply.Ended ended -> {
+				context.setResponseHeader(HttpRequests.VERSION, Long.toString(ended.revision()));
+				send(context, ended.outcome(), ended.ticket());
+			}
+			case EntryReply.Wrong wrong -> wrong(context, wrong.status(), wrong.problem());
+		}
+	}
+
+	static void send(Context context, CallOutcome outcome, Optional<Ticket> ticket) {
+		ticket.ifPresent((issued) -> context.setResponseHeader("Location", outcomePath(issued)));
+		switch (outcome) {
+			case CallOutcome.Answered answered -> answered(context, answered);
+			case CallOutcome.NotRun notRun -> {
+				retryAfter(context, notRun.retryAfterMillis());
+				refuse(context, UNAVAILABLE, new Refusal(Outcomes.word(notRun.reason()), "no", true,
+						notRun.retryAfterMillis(), Optional.empty()));
+			}
+			case CallOutcome.Unknown unknown ->
+				refuse(context, GATEWAY_TIMEOUT, new Refusal(Outcomes.word(unknown.reason()), "unknown", false, 0,
+						ticket.map(HttpAnswers::outcomePath)));
+			case CallOutcome.Late late -> {
+				retryAfter(context, late.askAfterMillis());
+				refuse(context, ACCEPTED, new Refusal("late", "running", false, late.askAfterMillis(),
+						ticket.map(HttpAnswers::outcomePath)));
+			}
+		}
+	}
+
+	static void wrong(Context context, Problem problem) {
+		wrong(context, BAD_REQUEST, problem);
+	}
+
+	static void wrong(Context context, int status, Problem problem) {
+		json(context, status, new WrongRequest(problem.type().code(), problem.message(), "no"));
+	}
+
+	static void tickets(Context context, CallMessage.Tickets tickets) {
+		if (tickets.refusal().isPresent()) {
+			send(context, new CallOutcome.NotRun(tickets.refusal().get(), MILLIS_PER_SECOND), Optional.empty());
+			return;
+		}
+		json(context, OK, new TicketList(tickets.tickets().stream().map(Ticket::written).toList()));
+	}
+
+	static void json(Context context, int status, Object body) {
+		try {
+			context.setResponseCode(StatusCode.valueOf(status));
+			context.setResponseType(MediaType.json);
+			context.send(MAPPER.writeValueAsBytes(body));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a record is always JSON", ex);
+		}
+	}
+
+	private static void answered(Context context, CallOutcome.Answered answered) {
+		context.setResponseCode(StatusCode.valueOf(answered.status()));
+		for (Header header : answered.headers()) {
+			context.setResponseHeader(header.name(), header.value());
+		}
+		context.setResponseHeader("Request-Ran", "yes");
+		context.send(answered.body());
+	}
+
+	private static void refuse(Context context, int status, Refusal refusal) {
+		context.setResponseHeader("Request-Ran", refusal.ran());
+		context.setResponseHeader("Request-Resend", refusal.resend() ? "yes" : "no");
+		json(context, status, refusal);
+	}
+
+	private static void retryAfter(Context context, long millis) {
+		long seconds = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+		context.setResponseHeader("Retry-After", Long.toString(seconds));
+	}
+
+	private static String outcomePath(Ticket ticket) {
+		return "/-/outcomes/" + ticket.written();
+	}
+
+	/**
+	 * Body of an answer that is not the target's.
+	 *
+	 * @param reason why the request was not answered
+	 * @param ran whether it ran: {@code no}, {@code unknown} or {@code running}
+	 * @param resend whether the caller should send it again
+	 * @param retryAfterMillis when, in milliseconds from now
+	 * @param outcome path at which the final outcome can be asked for; empty when there
+	 * is none
+	 */
+	record Refusal(String reason, String ran, boolean resend, long retryAfterMillis, Optional<String> outcome) {
+
+	}
+
+	/**
+	 * Body of an answer to a request that is itself wrong.
+	 *
+	 * @param code code of the error
+	 * @param error what is wrong
+	 * @param ran always {@code no}
+	 */
+	record WrongRequest(int code, String error, String ran) {
+
+	}
+
+	/**
+	 * Body of an answer with tickets.
+	 *
+	 * @param tickets the tickets as callers repeat them
+	 */
+	record TicketList(List<String> tickets) {
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/JsonLinesLayout.java
@@ -0,0 +1,40 @@
+package org.eelgrasspitch.node;
+
+import java.time.Instant;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.LayoutBase;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Formats a log event as one line of JSON: {@code time}, {@code level}, {@code event},
+ * the event's fields, and {@code error} when an exception was logged.
+ */
+public final class JsonLinesLayout extends LayoutBase<ILoggingEvent> {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	@Override
+	public String doLayout(ILoggingEvent event) {
+		ObjectNode line = MAPPER.createObjectNode();
+		line.put("time", Instant.ofEpochMilli(event.getTimeStamp()).toString());
+		line.put("level", event.getLevel().toString());
+		line.put("event", event.getFormattedMessage());
+		event.getMDCPropertyMap().forEach(line::put);
+		if (!"eelgrasspitch".equals(event.getLoggerName())) {
+			line.put("logger", event.getLoggerName());
+		}
+		if (event.getThrowableProxy() != null) {
+			line.put("error", event.getThrowableProxy().getClassName() + ": " + event.getThrowableProxy().getMessage());
+		}
+		try {
+			return MAPPER.writeValueAsString(line) + System.lineSeparator();
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a tree of strings is always JSON", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -0,0 +1,140 @@
+package org.eelgrasspitch.node;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.fleet.FleetMember;
+import org.eelgrasspitch.fleet.FleetSettings;
+import org.eelgrasspitch.fleet.LifeState;
+import org.eelgrasspitch.fleet.Peer;
+import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.misc.TimeSource;
+import org.eelgrasspitch.node.EventLog.Field;
+import org.eelgrasspitch.wire.PeerTransport;
+import org.eelgrasspitch.wire.WireLimits;
+
+/**
+ * A running node: builds the parts, connects them, starts them in an order in which each
+ * finds what it needs, and stops them in the reverse order.
+ */
+public final class Node implements AutoCloseable {
+
+	private static final int PEER_THREADS = 2;
+
+	private static final int FRONT_THREADS = 2;
+
+	private static final long PROBE_MILLIS = 1_000;
+
+	private static final long DRAIN_POLL_MILLIS = 20;
+
+	private final Closer closer = new Closer();
+
+	private final NodeContext context;
+
+	private final HomeService home;
+
+	private final ControlLoop control;
+
+	private Node(NodeSettings settings, TimeSource time, RandomGenerator random) {
+		long now = time.monotonicMillis();
+		NodeState state = new NodeState(settings.pauseMillis(), now);
+		this.context = new NodeContext(settings, time, random.nextLong(1, Long.MAX_VALUE), now, state,
+				new NodeMetrics(), new EventLog(time));
+		Peer self = new Peer(settings.vm(), settings.failureDomain(), settings.advertisedAddress(),
+				this.context.incarnation());
+		FleetSettings fleet = FleetSettings.of(self, settings.seeds(), settings.distribution())
+			.withPlatformCalls(settings.platformCallsPerSecond())
+			.withPauseMillis(settings.pauseMillis());
+		this.control = new ControlLoop(new FleetMember(fleet, random, now), this.context, fleet.tickMillis());
+		TargetClient target = this.closer.register(new TargetClient(settings));
+		this.home = new HomeService(this.context, target, random);
+		CallClient calls = new CallClient(this.context);
+		EntryService entry = this.closer.register(new EntryService(this.context, this.home, calls, random));
+		PeerTransport transport = this.closer.register(new PeerTransport(self, PEER_THREADS,
+				new PeerListener(this.context, this.control, calls, this.home), this.context.metrics()));
+		calls.use(transport);
+		transport.listen(settings.peerAddress());
+		PlatformClient platform = this.closer
+			.register(new PlatformClient(settings, this.context.metrics(), this.control::post));
+		this.control.start(transport, platform);
+		this.closer.register(this.control);
+		startProbing(target);
+		startFront(CallerFront.create(entry), settings.callerAddress());
+		startFront(OperatorFront.create(this.context, this.control, this.home), settings.operatorAddress());
+	}
+
+	/**
+	 * Starts a node.
+	 * @param settings what it is told
+	 * @return the running node
+	 */
+	public static Node start(NodeSettings settings) {
+		Node node = new Node(settings, TimeSource.system(), new java.security.SecureRandom());
+		node.context.log()
+			.info("node_started", Field.of("vm", settings.vm()), Field.of("failure_domain", settings.failureDomain()),
+					Field.of("incarnation", node.context.incarnation()));
+		return node;
+	}
+
+	/**
+	 * Leaves in an orderly way: refuses new work, tells peers, waits for requests in
+	 * flight up to the drain limit, then stops.
+	 */
+	public void leave() {
+		this.control.post(new FleetEvent.LeaveRequested());
+		long giveUpAt = this.context.time().monotonicMillis() + this.context.settings().drainMillis();
+		pause();
+		while (this.context.time().monotonicMillis() < giveUpAt && isBusy()) {
+			pause();
+		}
+		this.context.log().info("node_drained", Field.of("in_flight", this.home.inFlight()));
+		this.control.post(new FleetEvent.Drained());
+		close();
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+	private boolean isBusy() {
+		return this.context.state().life() != LifeState.LEAVING || this.home.inFlight() > 0;
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void startProbing(TargetClient target) {
+		ScheduledExecutorService prober = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "prober");
+			thread.setDaemon(true);
+			return thread;
+		});
+		this.closer.register(prober::shutdownNow);
+		prober.scheduleAtFixedRate(() -> target.probe(this.home::targetLeaving), PROBE_MILLIS, PROBE_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	private void startFront(Jooby app, java.net.InetSocketAddress address) {
+		ServerOptions options = new ServerOptions().setPort(address.getPort())
+			.setIoThreads(FRONT_THREADS)
+			.setWorkerThreads(FRONT_THREADS)
+			.setMaxRequestSize(WireLimits.MAX_BODY_BYTES);
+		options.setHost(address.getAddress().getHostAddress());
+		app.setServerOptions(options);
+		app.start();
+		this.closer.register(app::stop);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
@@ -0,0 +1,70 @@
+package org.eelgrasspitch.node;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import org.eelgrasspitch.fleet.FleetEvent;
+
+/**
+ * The HTTP side for operators: {@code GET /status}, {@code GET /metrics} and
+ * {@code POST /leave}.
+ */
+final class OperatorFront {
+
+	private static final int OK = 200;
+
+	private static final int ACCEPTED = 202;
+
+	private static final int UNAVAILABLE = 503;
+
+	private OperatorFront() {
+	}
+
+	/**
+	 * Creates the application.
+	 * @param context the node's shared parts
+	 * @param control the control thread
+	 * @param home the home side, for its counts
+	 * @return the application, not started
+	 */
+	static Jooby create(NodeContext context, ControlLoop control, HomeService home) {
+		Jooby app = new Jooby();
+		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+		app.get("/status", (request) -> status(context, control, home, request));
+		app.get("/metrics", (request) -> {
+			request.setResponseType(MediaType.text);
+			return request.send(context.metrics().exposition());
+		});
+		app.post("/leave", (request) -> {
+			control.post(new FleetEvent.LeaveRequested());
+			HttpAnswers.json(request, ACCEPTED, new Accepted("leaving"));
+			return request;
+		});
+		return app;
+	}
+
+	private static Object status(NodeContext context, ControlLoop control, HomeService home, Context request)
+			throws Exception {
+		return request.detach((detached) -> {
+			control.view().whenComplete((view, failure) -> {
+				if (failure != null) {
+					HttpAnswers.json(request, UNAVAILABLE, new Accepted("busy"));
+					return;
+				}
+				HttpAnswers.json(request, OK, StatusReport.of(context, view, home));
+			});
+			return request;
+		});
+	}
+
+	/**
+	 * Body of an answer that only acknowledges.
+	 *
+	 * @param state what happens now
+	 */
+	record Accepted(String state) {
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/Outcomes.java
@@ -0,0 +1,29 @@
+package org.eelgrasspitch.node;
+
+import java.util.Locale;
+
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Reason;
+
+/**
+ * Words for outcomes in metrics, logs and answers.
+ */
+final class Outcomes {
+
+	private Outcomes() {
+	}
+
+	static String word(CallOutcome outcome) {
+		return switch (outcome) {
+			case CallOutcome.Answered answered -> "answered";
+			case CallOutcome.NotRun notRun -> "not_run";
+			case CallOutcome.Unknown unknown -> "unknown";
+			case CallOutcome.Late late -> "late";
+		};
+	}
+
+	static String word(Reason reason) {
+		return reason.name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
@@ -0,0 +1,94 @@
+package org.eelgrasspitch.node;
+
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.node.EventLog.Field;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.wire.ConnectionListener;
+import org.eelgrasspitch.wire.Frame;
+import org.eelgrasspitch.wire.PeerConnection;
+import org.eelgrasspitch.wire.Purpose;
+
+/**
+ * Passes what arrives from other nodes to the part that it concerns.
+ */
+final class PeerListener implements ConnectionListener {
+
+	private final NodeContext context;
+
+	private final ControlLoop control;
+
+	private final CallClient calls;
+
+	private final HomeService home;
+
+	PeerListener(NodeContext context, ControlLoop control, CallClient calls, HomeService home) {
+		this.context = context;
+		this.control = control;
+		this.calls = calls;
+		this.home = home;
+	}
+
+	@Override
+	public void opened(PeerConnection connection) {
+		if (connection.purpose() == Purpose.FLEET && !connection.isOutbound()) {
+			this.control.accepted(connection);
+		}
+	}
+
+	@Override
+	public void received(PeerConnection connection, Frame frame) {
+		switch (frame) {
+			case Frame.Fleet fleet when connection.purpose() == Purpose.FLEET ->
+				this.control.post(new FleetEvent.Received(connection.id(), fleet.message()));
+			case Frame.Call call when connection.purpose() == Purpose.CALL -> call(connection, call.message());
+			default -> connection.close();
+		}
+	}
+
+	@Override
+	public void closed(PeerConnection connection) {
+		if (connection.purpose() == Purpose.FLEET) {
+			this.control.closed(connection);
+			return;
+		}
+		this.calls.closed(connection);
+	}
+
+	@Override
+	public void malformed(String remote, Problem problem) {
+		this.context.log().warn("malformed_frame", Field.of("remote", remote), Field.of("problem", problem.message()));
+	}
+
+	private void call(PeerConnection connection, CallMessage message) {
+		switch (message) {
+			case CallMessage.Request request -> {
+				mention(request.revision());
+				this.home.handle(request, (outcome) -> reply(connection,
+						new CallMessage.Reply(request.call(), outcome, this.context.state().revision())));
+			}
+			case CallMessage.Reply reply -> {
+				mention(reply.revision());
+				this.calls.received(connection, reply);
+			}
+			case CallMessage.Tickets tickets -> this.calls.received(connection, tickets);
+			case CallMessage.TicketQuery query -> reply(connection, this.home.tickets(query));
+			case CallMessage.OutcomeQuery query -> reply(connection, new CallMessage.Reply(query.call(),
+					this.home.outcome(query.ticket()), this.context.state().revision()));
+			case CallMessage.Cancel cancel -> {
+				// Work that nobody waits for is dropped when its deadline passes.
+			}
+		}
+	}
+
+	private void mention(long revision) {
+		if (revision > this.context.state().revision()) {
+			this.control.post(new FleetEvent.RevisionMentioned(revision));
+		}
+	}
+
+	private static void reply(PeerConnection connection, CallMessage message) {
+		connection.send(new Frame.Call(message));
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/PlatformClient.java
@@ -0,0 +1,158 @@
+package org.eelgrasspitch.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.eelgrasspitch.fleet.FleetEffect;
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.TextTool;
+
+/**
+ * Reads and watches the platform's configuration service over HTTP.
+ * <p>
+ * Assumed interface: {@code GET /v1/text} and {@code GET /v1/vms} with query parameters
+ * {@code after} (a revision), {@code wait} (milliseconds) and {@code reader} (the VM's
+ * name). The service answers 200 with the document when its revision is above
+ * {@code after}, else it waits up to {@code wait} and answers 204; both carry the current
+ * revision in the header {@code Revision}. This assumption stands in this class alone.
+ */
+final class PlatformClient implements AutoCloseable {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(3);
+
+	private static final int OK = 200;
+
+	private static final int NO_CONTENT = 204;
+
+	private static final String REVISION_HEADER = "Revision";
+
+	private final HttpUrl base;
+
+	private final String reader;
+
+	private final Consumer<FleetEvent> events;
+
+	private final NodeMetrics metrics;
+
+	private final OkHttpClient client;
+
+	/** The latest call of each channel. */
+	private final Map<Channel, Call> calls = new EnumMap<>(Channel.class);
+
+	PlatformClient(NodeSettings settings, NodeMetrics metrics, Consumer<FleetEvent> events) {
+		this.base = HttpUrl.get(settings.platformUrl());
+		this.reader = settings.vm();
+		this.metrics = metrics;
+		this.events = events;
+		this.client = new OkHttpClient.Builder().connectTimeout(CONNECT_TIMEOUT)
+			.dispatcher(new Dispatcher())
+			.connectionPool(new ConnectionPool(2, 1, java.util.concurrent.TimeUnit.MINUTES))
+			.followRedirects(false)
+			.build();
+	}
+
+	/**
+	 * Starts a call and drops the channel's earlier one.
+	 * @param effect what to ask for
+	 */
+	void call(FleetEffect.CallPlatform effect) {
+		Call former = this.calls.get(effect.channel());
+		if (former != null) {
+			former.cancel();
+		}
+		HttpUrl url = this.base.newBuilder()
+			.addPathSegments((effect.channel() == Channel.TEXT) ? "v1/text" : "v1/vms")
+			.addQueryParameter("after", Long.toString(effect.afterRevision()))
+			.addQueryParameter("wait", Long.toString(effect.waitMillis()))
+			.addQueryParameter("reader", this.reader)
+			.build();
+		Duration timeout = ANSWER_TIMEOUT.plusMillis(effect.waitMillis());
+		Call call = this.client.newBuilder()
+			.readTimeout(timeout)
+			.callTimeout(timeout)
+			.build()
+			.newCall(new Request.Builder().url(url).build());
+		this.calls.put(effect.channel(), call);
+		this.metrics.platformCalled(effect.channel());
+		call.enqueue(new Answer(effect));
+	}
+
+	@Override
+	public void close() {
+		this.client.dispatcher().cancelAll();
+		this.client.dispatcher().executorService().shutdown();
+		this.client.connectionPool().evictAll();
+	}
+
+	/**
+	 * Turns the answer of one call into an event.
+	 */
+	private final class Answer implements Callback {
+
+		private final FleetEffect.CallPlatform effect;
+
+		Answer(FleetEffect.CallPlatform effect) {
+			this.effect = effect;
+		}
+
+		@Override
+		public void onFailure(Call call, IOException cause) {
+			failed();
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			try (response) {
+				PlatformClient.this.events.accept(event(response));
+			}
+			catch (IOException | NumberFormatException ex) {
+				failed();
+			}
+		}
+
+		private FleetEvent event(Response response) throws IOException {
+			long revision = Long.parseLong(String.valueOf(response.header(REVISION_HEADER)));
+			if (response.code() == NO_CONTENT) {
+				return new FleetEvent.PlatformUnchanged(this.effect.channel(), this.effect.sequence(), revision);
+			}
+			if (response.code() != OK) {
+				throw new IOException("status " + response.code());
+			}
+			byte[] content = read(response.body().source());
+			PlatformClient.this.metrics.platformRead(content.length);
+			return new FleetEvent.PlatformServed(this.effect.channel(), this.effect.sequence(), revision, content);
+		}
+
+		/**
+		 * Reads at most one byte more than a document may have, which is enough to refuse
+		 * it.
+		 */
+		private byte[] read(BufferedSource source) throws IOException {
+			source.request(TextTool.MAX_DOCUMENT_BYTES + 1L);
+			long length = Math.min(source.getBuffer().size(), TextTool.MAX_DOCUMENT_BYTES + 1L);
+			return source.readByteArray(length);
+		}
+
+		private void failed() {
+			PlatformClient.this.events
+				.accept(new FleetEvent.PlatformFailed(this.effect.channel(), this.effect.sequence()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -0,0 +1,149 @@
+package org.eelgrasspitch.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Fields;
+import org.eelgrasspitch.misc.LocatedNode.TextNode;
+import org.eelgrasspitch.misc.LocatedReader;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+
+/**
+ * Reads a node's settings from JSON with comments and reports every problem in one go.
+ */
+public final class SettingsParser {
+
+	private static final int MAX_SETTINGS_BYTES = 65_536;
+
+	private static final int MAX_SEEDS = 64;
+
+	private static final int MAX_PLATFORM_CALLS = 2_000;
+
+	private static final int DEFAULT_PLATFORM_CALLS = 200;
+
+	private static final int MAX_RECORDS = 1_000_000;
+
+	private static final int DEFAULT_RECORDS = 20_000;
+
+	private static final int MAX_DRAIN_MILLIS = 600_000;
+
+	private static final int DEFAULT_DRAIN_MILLIS = 30_000;
+
+	private static final int MIN_PAUSE_MILLIS = 300;
+
+	private static final int MAX_PAUSE_MILLIS = 60_000;
+
+	private static final int DEFAULT_PAUSE_MILLIS = 1_000;
+
+	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
+
+	private final CollectingProblemListener listener = new CollectingProblemListener();
+
+	private SettingsParser() {
+	}
+
+	/**
+	 * Reads settings from a file.
+	 * @param file the file
+	 * @return the settings, or every problem found
+	 */
+	public static Either<List<Problem>, NodeSettings> read(Path file) {
+		try {
+			return parse(Files.readAllBytes(file));
+		}
+		catch (IOException ex) {
+			return Either
+				.left(List.of(Problem.of(ErrorType.UNREADABLE, Position.UNKNOWN, file, ex.getClass().getSimpleName())));
+		}
+	}
+
+	/**
+	 * Reads settings.
+	 * @param content the settings, JSON with comments in UTF-8
+	 * @return the settings, or every problem found
+	 */
+	public static Either<List<Problem>, NodeSettings> parse(byte[] content) {
+		SettingsParser parser = new SettingsParser();
+		Optional<NodeSettings> settings = new LocatedReader(MAX_SETTINGS_BYTES, parser.listener).read(content)
+			.flatMap((root) -> Fields.of("the settings", root, parser.listener))
+			.map(parser::settings);
+		if (settings.isEmpty() || parser.listener.hasErrors()) {
+			return Either.left(parser.listener.problems());
+		}
+		return Either.right(settings.get());
+	}
+
+	private NodeSettings settings(Fields fields) {
+		String vm = fields.name("vm");
+		String failureDomain = fields.name("failureDomain");
+		String service = fields.name("service");
+		InetSocketAddress peer = address(fields, "peerAddress");
+		InetSocketAddress advertised = fields.has("advertisedAddress") ? address(fields, "advertisedAddress") : peer;
+		NodeSettings settings = new NodeSettings(vm, failureDomain, service, peer, advertised,
+				address(fields, "callerAddress"), address(fields, "operatorAddress"), address(fields, "targetAddress"),
+				url(fields), seeds(fields), distribution(fields),
+				fields.integer("platformCallsPerSecond", 1, MAX_PLATFORM_CALLS, DEFAULT_PLATFORM_CALLS),
+				fields.integer("recordCapacity", 1, MAX_RECORDS, DEFAULT_RECORDS),
+				fields.integer("drainMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
+				fields.integer("pauseMillis", MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, DEFAULT_PAUSE_MILLIS));
+		fields.refuseUnknown();
+		return settings;
+	}
+
+	private Distribution distribution(Fields fields) {
+		return fields.has("distribution") ? fields.word("distribution", List.of(Distribution.values()))
+				: Distribution.PARTS;
+	}
+
+	private InetSocketAddress address(Fields fields, String key) {
+		String written = fields.text(key);
+		Optional<InetSocketAddress> address = Addresses.parse(written);
+		if (address.isEmpty() && fields.has(key)) {
+			fields.report(ErrorType.BAD_ADDRESS, fields.position(key), written);
+		}
+		return address.orElse(NO_ADDRESS);
+	}
+
+	private String url(Fields fields) {
+		String written = fields.text("platformUrl");
+		if (fields.has("platformUrl") && !isHttpUrl(written)) {
+			fields.report(ErrorType.BAD_URL, fields.position("platformUrl"), written);
+		}
+		return written;
+	}
+
+	private static boolean isHttpUrl(String written) {
+		try {
+			URI uri = URI.create(written);
+			return "http".equals(uri.getScheme()) && uri.getHost() != null;
+		}
+		catch (IllegalArgumentException ex) {
+			return false;
+		}
+	}
+
+	private List<InetSocketAddress> seeds(Fields fields) {
+		List<InetSocketAddress> seeds = new ArrayList<>();
+		for (TextNode node : fields.texts("seeds", MAX_SEEDS)) {
+			Optional<InetSocketAddress> address = Addresses.parse(node.value());
+			if (address.isEmpty()) {
+				fields.report(ErrorType.BAD_ADDRESS, node.position(), node.value());
+			}
+			address.ifPresent(seeds::add);
+		}
+		return List.copyOf(seeds);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
@@ -0,0 +1,72 @@
+package org.eelgrasspitch.node;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+import org.eelgrasspitch.fleet.FleetView;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.text.Version;
+
+/**
+ * A node's state as the operators' port shows it in JSON.
+ *
+ * @param vm the VM's name
+ * @param failureDomain its failure domain
+ * @param incarnation the process
+ * @param state life state in lower case
+ * @param confirmed true when the text is known to be current
+ * @param role reader role in lower case
+ * @param revision revision of the text held; 0 before the first
+ * @param digest digest of the text held; empty before the first
+ * @param floor highest revision known to be held anywhere
+ * @param vmsRevision revision of the VM list held; 0 before the first
+ * @param evidenceAgeMillis age of the evidence that the text is current; negative when
+ * none
+ * @param rejectedRevision latest rejected revision; 0 when none
+ * @param rejectedProblems what is wrong with it, as far as known here
+ * @param inFlight requests that run or wait here
+ * @param records records of at-most-once requests
+ * @param peers open links
+ */
+public record StatusReport(String vm, String failureDomain, long incarnation, String state, boolean confirmed,
+		String role, long revision, Optional<String> digest, long floor, long vmsRevision, long evidenceAgeMillis,
+		long rejectedRevision, List<String> rejectedProblems, int inFlight, int records, List<PeerStatus> peers) {
+
+	static StatusReport of(NodeContext context, FleetView view, HomeService home) {
+		List<PeerStatus> peers = view.peers()
+			.stream()
+			.map((peer) -> new PeerStatus(peer.peer().vm(), peer.peer().failureDomain(), peer.outbound(),
+					peer.revision()))
+			.toList();
+		List<String> problems = view.rejection()
+			.map((rejection) -> rejection.problems().stream().map(Problem::toString).toList())
+			.orElse(List.of());
+		return new StatusReport(context.settings().vm(), context.settings().failureDomain(), context.incarnation(),
+				word(view.life()), view.evidenceAgeMillis() >= 0, word(view.role()), revision(view.text()),
+				view.text().map((version) -> version.digest().hex()), view.floor(), revision(view.vms()),
+				view.evidenceAgeMillis(), view.rejection().map((rejection) -> rejection.revision()).orElse(0L),
+				problems, home.inFlight(), home.recordCount(), peers);
+	}
+
+	private static long revision(Optional<Version> version) {
+		return version.map(Version::revision).orElse(0L);
+	}
+
+	private static String word(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * One open link.
+	 *
+	 * @param vm the other VM's name
+	 * @param failureDomain its failure domain
+	 * @param outbound true when this node opened the link
+	 * @param revision revision of the text that it holds
+	 */
+	public record PeerStatus(String vm, String failureDomain, boolean outbound, long revision) {
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -0,0 +1,214 @@
+package org.eelgrasspitch.node;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import okio.BufferedSource;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Header;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.wire.WireLimits;
+
+/**
+ * Sends requests to this VM's target over HTTP.
+ * <p>
+ * The library's own repetitions are all switched off: retry on connection failure,
+ * redirects, and, through a one-shot body, the repetition after status 503. So one call
+ * here puts a request on the wire at most once. A failure to connect is {@code NotRun};
+ * any failure after that is {@code Unknown}, because bytes may have arrived. A target
+ * that answers 503 with the header {@code Request-Ran: no} is believed.
+ */
+final class TargetClient implements AutoCloseable {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+	private static final Duration HEALTH_TIMEOUT = Duration.ofMillis(800);
+
+	private static final int MAX_IDLE_CONNECTIONS = 100;
+
+	private static final long IDLE_SECONDS = 30;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final Set<String> HOP_HEADERS = Set.of("connection", "content-length", "transfer-encoding", "date",
+			"keep-alive", "request-ran");
+
+	private final String host;
+
+	private final int port;
+
+	private final OkHttpClient client;
+
+	TargetClient(NodeSettings settings) {
+		this.host = settings.targetAddress().getAddress().getHostAddress();
+		this.port = settings.targetAddress().getPort();
+		Dispatcher dispatcher = new Dispatcher();
+		dispatcher.setMaxRequests(Integer.MAX_VALUE);
+		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+			.protocols(List.of(Protocol.HTTP_1_1))
+			.connectTimeout(CONNECT_TIMEOUT)
+			.retryOnConnectionFailure(false)
+			.followRedirects(false)
+			.followSslRedirects(false)
+			.readTimeout(Duration.ZERO)
+			.build();
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param timeoutMillis longest time until the whole answer is here, in milliseconds
+	 * @param callback receives the outcome exactly once
+	 * @return the call, to cancel it
+	 */
+	Call send(CallMessage.Request request, long timeoutMillis, Consumer<CallOutcome> callback) {
+		Request.Builder builder = new Request.Builder().url(url(request.route().operation()))
+			.post(new OneShotBody(request.body()));
+		request.headers().forEach((header) -> builder.header(header.name(), header.value()));
+		builder.header("Request-Id", request.requestId())
+			.header("Request-Deadline-Millis", Long.toString(timeoutMillis))
+			.header("Config-Version", Long.toString(request.revision()));
+		Call call = this.client.newCall(builder.build());
+		call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+		call.enqueue(new Answer(callback));
+		return call;
+	}
+
+	/**
+	 * Asks the target whether it is draining. Its word may be late or wrong.
+	 * @param callback receives true when the target says so
+	 */
+	void probe(Consumer<Boolean> callback) {
+		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
+		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		call.enqueue(new Callback() {
+			@Override
+			public void onFailure(Call failed, IOException cause) {
+				// No word from the target is no evidence of draining.
+			}
+
+			@Override
+			public void onResponse(Call answered, Response response) throws IOException {
+				try (response) {
+					callback.accept(response.body().string().contains("draining"));
+				}
+			}
+		});
+	}
+
+	@Override
+	public void close() {
+		this.client.dispatcher().executorService().shutdown();
+		this.client.connectionPool().evictAll();
+	}
+
+	private HttpUrl url(String path) {
+		return new HttpUrl.Builder().scheme("http").host(this.host).port(this.port).addPathSegment(path).build();
+	}
+
+	/**
+	 * Turns the end of a call into an outcome.
+	 *
+	 * @param callback receives it
+	 */
+	private record Answer(Consumer<CallOutcome> callback) implements Callback {
+
+		@Override
+		public void onFailure(Call call, IOException cause) {
+			boolean refused = cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+			if (refused) {
+				this.callback.accept(new CallOutcome.NotRun(Reason.TARGET_UNREACHABLE, 0));
+				return;
+			}
+			this.callback.accept(new CallOutcome.Unknown(call.isCanceled() ? Reason.CANCELLED : Reason.ANSWER_LOST));
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			CallOutcome outcome;
+			try (response) {
+				outcome = outcome(response);
+			}
+			catch (IOException ex) {
+				outcome = new CallOutcome.Unknown(Reason.ANSWER_LOST);
+			}
+			this.callback.accept(outcome);
+		}
+
+		private static CallOutcome outcome(Response response) throws IOException {
+			if (response.code() == UNAVAILABLE && "no".equals(response.header("Request-Ran"))) {
+				boolean leaving = "leaving".equals(response.header("Target-State"));
+				return new CallOutcome.NotRun(leaving ? Reason.LEAVING : Reason.TARGET_REFUSED, 0);
+			}
+			BufferedSource source = response.body().source();
+			if (source.request(WireLimits.MAX_BODY_BYTES + 1L)) {
+				return new CallOutcome.Unknown(Reason.ANSWER_LOST);
+			}
+			byte[] body = source.readByteArray();
+			List<Header> headers = new ArrayList<>();
+			response.headers().forEach((pair) -> {
+				if (!HOP_HEADERS.contains(pair.getFirst().toLowerCase(java.util.Locale.ROOT))) {
+					headers.add(new Header(pair.getFirst(), pair.getSecond()));
+				}
+			});
+			return new CallOutcome.Answered(response.code(), headers, body);
+		}
+
+	}
+
+	/**
+	 * A body that the library must not send twice.
+	 */
+	private static final class OneShotBody extends RequestBody {
+
+		private final byte[] content;
+
+		OneShotBody(byte[] content) {
+			this.content = content;
+		}
+
+		@Override
+		public MediaType contentType() {
+			return null;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.content.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.content);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/TicketCall.java
@@ -0,0 +1,101 @@
+package org.eelgrasspitch.node;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.RetryPolicy;
+import org.eelgrasspitch.text.Route;
+import org.eelgrasspitch.text.RouteKey;
+import org.eelgrasspitch.text.Vm;
+
+/**
+ * Obtains tickets for one caller. Asking changes nothing that matters, so another node is
+ * asked when one does not answer.
+ */
+final class TicketCall {
+
+	private static final long ATTEMPT_MILLIS = 500;
+
+	private final EntryService entry;
+
+	private final Route route;
+
+	private final RouteKey key;
+
+	private final int count;
+
+	private final Consumer<CallMessage.Tickets> reply;
+
+	/** Names of the VMs asked so far. */
+	private final Set<String> tried = new HashSet<>();
+
+	TicketCall(EntryService entry, Route route, RouteKey key, int count, Consumer<CallMessage.Tickets> reply) {
+		this.entry = entry;
+		this.route = route;
+		this.key = key;
+		this.count = count;
+		this.reply = reply;
+	}
+
+	void attempt() {
+		Optional<Vm> chosen = this.entry.choose(this.route.service(), this.tried);
+		if (chosen.isEmpty() || this.tried.size() >= RetryPolicy.MAX_ATTEMPTS) {
+			refuse(Reason.NO_TARGET);
+			return;
+		}
+		Vm vm = chosen.get();
+		this.tried.add(vm.name());
+		this.entry.started(vm.name());
+		OnceConsumer<CallMessage.Tickets> once = new OnceConsumer<>((tickets) -> answered(vm, tickets));
+		this.entry.send(vm.name(), vm.address(), (call) -> new CallMessage.TicketQuery(call, this.key, this.count),
+				new Answer(once));
+		this.entry.after(ATTEMPT_MILLIS, () -> once.accept(refusal(Reason.HOME_UNREACHABLE)));
+	}
+
+	private void answered(Vm vm, CallMessage.Tickets tickets) {
+		CallOutcome outcome = tickets.refusal()
+			.<CallOutcome>map((reason) -> new CallOutcome.NotRun(reason, 0))
+			.orElseGet(() -> new CallOutcome.Late(0));
+		this.entry.ended(vm.name(), outcome, 1);
+		if (tickets.refusal().isEmpty()) {
+			this.reply.accept(tickets);
+			return;
+		}
+		attempt();
+	}
+
+	private void refuse(Reason reason) {
+		this.reply.accept(refusal(reason));
+	}
+
+	private static CallMessage.Tickets refusal(Reason reason) {
+		return new CallMessage.Tickets(0, List.of(), Optional.of(reason));
+	}
+
+	/**
+	 * Receives the answer of one node.
+	 *
+	 * @param reply receives the tickets or the refusal
+	 */
+	private record Answer(Consumer<CallMessage.Tickets> reply) implements CallClient.Callback {
+
+		@Override
+		public void replied(CallMessage message) {
+			this.reply
+				.accept((message instanceof CallMessage.Tickets tickets) ? tickets : refusal(Reason.HOME_UNREACHABLE));
+		}
+
+		@Override
+		public void failed(CallOutcome outcome) {
+			this.reply.accept(refusal(Reason.HOME_UNREACHABLE));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/Demo.java
@@ -0,0 +1,239 @@
+package org.eelgrasspitch.testkit;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.node.NodeSettings;
+
+/**
+ * Runs a whole deployment in separate processes, drives callers, changes the
+ * configuration, restarts a node and drains a target, and checks that the promises held.
+ */
+public final class Demo {
+
+	private static final long SERVICE_MILLIS = 5;
+
+	private static final long START_MILLIS = 40_000;
+
+	private static final long CONVERGE_MILLIS = 13_000;
+
+	private static final long SEED = 20_261_203;
+
+	private final Cluster cluster;
+
+	private final PrintStream out;
+
+	private final List<String> failures = new ArrayList<>();
+
+	private final List<String> rows = new ArrayList<>();
+
+	private final long startedAt = System.nanoTime();
+
+	private Demo(Cluster cluster, PrintStream out) {
+		this.cluster = cluster;
+		this.out = out;
+	}
+
+	/**
+	 * Runs the demonstration.
+	 * @param directory the deployment's files
+	 * @param logs directory for the output of processes
+	 * @param out receives progress and the table
+	 * @return true when every promise held
+	 */
+	public static boolean run(Path directory, Path logs, PrintStream out) {
+		try (Cluster cluster = new Cluster(Deployment.read(directory), logs)) {
+			Thread hook = new Thread(cluster::close);
+			Runtime.getRuntime().addShutdownHook(hook);
+			boolean held = new Demo(cluster, out).run();
+			Runtime.getRuntime().removeShutdownHook(hook);
+			return held;
+		}
+	}
+
+	private boolean run() {
+		start();
+		try (Closer closer = new Closer()) {
+			LoadGenerator load = closer.register(new LoadGenerator(callerAddresses(), flows(), 12_000));
+			load.start(SEED);
+			Cluster.sleep(3_000);
+			change();
+			badVersion();
+			restart();
+			drain();
+			progress("stopping callers");
+			load.stop();
+			check(load);
+		}
+		platformAndBytes();
+		print();
+		return this.failures.isEmpty();
+	}
+
+	private void start() {
+		int count = this.cluster.vms().size();
+		progress("starting the platform, " + count + " targets and " + count + " nodes");
+		this.cluster.startPlatform();
+		this.cluster.publishVms(this.cluster.deployment().vms());
+		this.cluster.publishText(this.cluster.deployment().text());
+		this.cluster.startNodes();
+		this.cluster.startTargets(SERVICE_MILLIS);
+		awaitAll("serving revision 1", START_MILLIS,
+				(status) -> status.state().equals("serving") && status.revision() == 1);
+	}
+
+	private void change() {
+		progress("publishing a change");
+		byte[] changed = edited("\"slots\": 10", "\"slots\": 9");
+		long at = System.nanoTime();
+		long revision = this.cluster.publishText(changed);
+		awaitAll("the change in force", CONVERGE_MILLIS, (status) -> status.revision() == revision);
+		row("convergence of a change, last node", (System.nanoTime() - at) / 1_000_000 + " ms");
+	}
+
+	private void badVersion() {
+		progress("publishing a text with a dangling dependency");
+		long held = this.cluster.status(firstVm()).orElseThrow().revision();
+		long bad = this.cluster.publishText(edited("\"dependsOn\": [", "\"dependsOn\": [\"nowhere\", "));
+		awaitAll("the bad version reported", CONVERGE_MILLIS, (status) -> status.rejectedRevision() == bad);
+		awaitAll("the last good version kept", CONVERGE_MILLIS, (status) -> status.revision() == held);
+		row("bad version", "refused by every node, revision " + held + " kept");
+	}
+
+	private void restart() {
+		String vm = firstVm();
+		progress("killing and restarting the node on " + vm);
+		this.cluster.node(vm).kill();
+		this.cluster.startNode(vm);
+		long held = this.cluster.status(this.cluster.vms().get(1)).orElseThrow().revision();
+		List<String> open = this.cluster.await(List.of(vm), START_MILLIS,
+				(status) -> status.state().equals("serving") && status.revision() == held);
+		expect(open.isEmpty(), "the restarted node serves the same revision");
+		row("node restarted", "serves revision " + held);
+	}
+
+	private void drain() {
+		String vm = this.cluster.vms().get(this.cluster.vms().size() - 1);
+		progress("draining the target on " + vm);
+		NodeSettings settings = this.cluster.deployment().member(vm).settings();
+		this.cluster.control().post(settings.targetAddress(), "/-/faults?drain=true");
+		Cluster.sleep(3_000);
+		int early = received(settings);
+		Cluster.sleep(3_000);
+		int late = received(settings) - early;
+		expect(late == 0, "a draining target receives no new work after 3 s (got " + late + ")");
+		row("requests at the draining target after 3 s", Integer.toString(late));
+	}
+
+	private int received(NodeSettings settings) {
+		return this.cluster.control()
+			.post(settings.targetAddress(), "/-/faults")
+			.map((answer) -> Integer.parseInt(new String(answer.body(), StandardCharsets.UTF_8)))
+			.orElse(0);
+	}
+
+	private void check(LoadGenerator load) {
+		Map<String, Integer> executions = Executions.read(this.cluster);
+		load.outcomes().forEach((name, count) -> row("requests " + name, Integer.toString(count)));
+		int mostRuns = 0;
+		for (Map.Entry<String, Integer> entry : executions.entrySet()) {
+			boolean atMostOnce = flows().stream()
+				.filter(LoadGenerator.Flow::atMostOnce)
+				.anyMatch((flow) -> entry.getKey().startsWith(flow.service() + "-" + flow.operation() + "-"));
+			if (atMostOnce) {
+				mostRuns = Math.max(mostRuns, entry.getValue());
+			}
+		}
+		row("most runs of an at-most-once request", Integer.toString(mostRuns));
+		expect(mostRuns == 1, "at-most-once requests ran, and none twice");
+		expect(load.violations().isEmpty(), "every answer belongs to its request " + load.violations());
+		expect(load.refused().stream().noneMatch(executions::containsKey), "refused requests did not run");
+		expect(executions.keySet().containsAll(load.paid()), "every answered payment ran");
+		expect(!load.paid().isEmpty(), "payments were answered");
+	}
+
+	private void platformAndBytes() {
+		PlatformStandIn.Counts counts = this.cluster.control()
+			.get(this.cluster.platform(), "/counts")
+			.map((answer) -> Json.read(answer.body(), PlatformStandIn.Counts.class))
+			.orElseThrow();
+		long seconds = Math.max(1, (System.nanoTime() - this.startedAt) / 1_000_000_000);
+		row("platform calls", counts.calls() + " in " + seconds + " s");
+		double most = 0;
+		double sum = 0;
+		for (Deployment.Member member : this.cluster.deployment().members()) {
+			double bytes = MetricsReader.sum(this.cluster.control(), member.settings().operatorAddress(),
+					"eelgrasspitch_peer_bytes_total", "purpose=\"fleet\"") + counts.bytes(member.settings().vm());
+			most = Math.max(most, bytes);
+			sum += bytes;
+		}
+		row("control bytes per node and second, mean", "%.0f".formatted(sum / this.cluster.vms().size() / seconds));
+		row("control bytes per node and second, most", "%.0f".formatted(most / seconds));
+	}
+
+	private void print() {
+		this.out.println();
+		int width = this.rows.stream().mapToInt((row) -> row.indexOf('\t')).max().orElse(0) + 2;
+		for (String row : this.rows) {
+			int tab = row.indexOf('\t');
+			this.out.println(row.substring(0, tab) + " ".repeat(width - tab) + row.substring(tab + 1));
+		}
+		this.out.println();
+		this.failures.forEach((failure) -> this.out.println("FAILED: " + failure));
+		this.out.println(this.failures.isEmpty() ? "All promises held." : "Some promises did not hold.");
+	}
+
+	private void awaitAll(String what, long millis,
+			java.util.function.Predicate<org.eelgrasspitch.node.StatusReport> condition) {
+		List<String> open = this.cluster.await(this.cluster.vms(), millis, condition);
+		expect(open.isEmpty(), what + " (not on " + open + ")");
+	}
+
+	private void expect(boolean held, String what) {
+		if (!held) {
+			this.failures.add(what);
+			progress("FAILED: " + what);
+		}
+	}
+
+	private List<java.net.InetSocketAddress> callerAddresses() {
+		return this.cluster.deployment().members().stream().map((member) -> member.settings().callerAddress()).toList();
+	}
+
+	/**
+	 * Chooses the flows from the text itself, so that the demonstration runs any
+	 * deployment.
+	 */
+	private List<LoadGenerator.Flow> flows() {
+		List<LoadGenerator.Flow> flows = new ArrayList<>();
+		org.eelgrasspitch.text.TextTool.text(1, this.cluster.deployment().text())
+			.forEach((checked) -> checked.value().routes().values().forEach((route) -> {
+				boolean atMostOnce = route.operation().kind() == org.eelgrasspitch.text.OperationKind.AT_MOST_ONCE;
+				flows.add(new LoadGenerator.Flow(route.service().name(), route.operation().name(), atMostOnce, 20));
+			}));
+		return flows;
+	}
+
+	private byte[] edited(String from, String to) {
+		String text = new String(this.cluster.deployment().text(), StandardCharsets.UTF_8);
+		return text.replaceFirst(java.util.regex.Pattern.quote(from), to).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private String firstVm() {
+		return this.cluster.vms().get(0);
+	}
+
+	private void row(String name, String value) {
+		this.rows.add(name + "\t" + value);
+	}
+
+	private void progress(String what) {
+		this.out.printf("%6.1f s  %s%n", (System.nanoTime() - this.startedAt) / 1e9, what);
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/HttpCaller.java
@@ -0,0 +1,202 @@
+package org.eelgrasspitch.testkit;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.eelgrasspitch.misc.Addresses;
+
+/**
+ * Stands in for a caller and for an operator's tool: plain HTTP, one request at a time
+ * per thread, no repetition of its own.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+	private static final RequestBody EMPTY = RequestBody.create(new byte[0]);
+
+	private static final int MAX_IDLE = 256;
+
+	private final OkHttpClient client;
+
+	/**
+	 * Creates a caller.
+	 * @param timeoutMillis longest time for one request, in milliseconds
+	 */
+	public HttpCaller(long timeoutMillis) {
+		this.client = new OkHttpClient.Builder().callTimeout(Duration.ofMillis(timeoutMillis))
+			.readTimeout(Duration.ofMillis(timeoutMillis))
+			.connectTimeout(Duration.ofMillis(Math.min(timeoutMillis, 1_000)))
+			.retryOnConnectionFailure(false)
+			.followRedirects(false)
+			.connectionPool(new ConnectionPool(MAX_IDLE, 30, TimeUnit.SECONDS))
+			.build();
+	}
+
+	/**
+	 * Sends a request to a node.
+	 * @param node where the node accepts callers
+	 * @param call the request
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> call(InetSocketAddress node, CallSpec call) {
+		Request.Builder builder = request(node, "/" + call.service() + "/" + call.operation())
+			.post(RequestBody.create(call.body()))
+			.header("Request-Id", call.requestId())
+			.header("Request-Attempt", Integer.toString(call.attempt()));
+		call.ticket().ifPresent((ticket) -> builder.header("Request-Ticket", ticket));
+		if (call.crashTarget()) {
+			builder.header("Crash-Target", "yes");
+		}
+		return send(builder.build());
+	}
+
+	/**
+	 * Obtains tickets.
+	 * @param node where the node accepts callers
+	 * @param service the service
+	 * @param operation the operation
+	 * @param count number of tickets
+	 * @return the tickets; empty when refused
+	 */
+	public List<String> tickets(InetSocketAddress node, String service, String operation, int count) {
+		Request request = request(node, "/-/tickets/" + service + "/" + operation + "?count=" + count).post(EMPTY)
+			.build();
+		return send(request).filter((answer) -> answer.status() == 200)
+			.map((answer) -> Json.read(answer.body(), TicketList.class).tickets())
+			.orElse(List.of());
+	}
+
+	/**
+	 * Sends a GET request.
+	 * @param server the server
+	 * @param path path and query
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> get(InetSocketAddress server, String path) {
+		return send(request(server, path).get().build());
+	}
+
+	/**
+	 * Sends a POST request without a body.
+	 * @param server the server
+	 * @param path path and query
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> post(InetSocketAddress server, String path) {
+		return send(request(server, path).post(EMPTY).build());
+	}
+
+	/**
+	 * Sends a PUT request.
+	 * @param server the server
+	 * @param path path and query
+	 * @param body the body
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> put(InetSocketAddress server, String path, byte[] body) {
+		return send(request(server, path).put(RequestBody.create(body)).build());
+	}
+
+	@Override
+	public void close() {
+		this.client.dispatcher().executorService().shutdown();
+		this.client.connectionPool().evictAll();
+	}
+
+	private Optional<CallAnswer> send(Request request) {
+		try (Response response = this.client.newCall(request).execute()) {
+			return Optional.of(new CallAnswer(response.code(), Optional.ofNullable(response.header("Request-Ran")),
+					Optional.ofNullable(response.header("Request-Id")),
+					Optional.ofNullable(response.header("Config-Version")),
+					Optional.ofNullable(response.header("Retry-After")),
+					Optional.ofNullable(response.header("Location")), response.body().bytes()));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Request.Builder request(InetSocketAddress server, String path) {
+		return new Request.Builder().url("http://" + Addresses.format(server) + path);
+	}
+
+	/**
+	 * A request to send.
+	 *
+	 * @param service the service
+	 * @param operation the operation
+	 * @param requestId the request's identifier
+	 * @param ticket the ticket of an at-most-once request; empty for others
+	 * @param attempt how many times it has been sent, this time included
+	 * @param body the body
+	 * @param crashTarget true when the target that runs it is to crash
+	 */
+	public record CallSpec(String service, String operation, String requestId, Optional<String> ticket, int attempt,
+			byte[] body, boolean crashTarget) {
+
+		/**
+		 * Creates a first attempt without a ticket.
+		 * @param service the service
+		 * @param operation the operation
+		 * @param requestId the request's identifier
+		 * @return the request
+		 */
+		public static CallSpec of(String service, String operation, String requestId) {
+			return new CallSpec(service, operation, requestId, Optional.empty(), 1, new byte[0], false);
+		}
+
+		/**
+		 * Adds a ticket.
+		 * @param written the ticket
+		 * @return the changed request
+		 */
+		public CallSpec withTicket(String written) {
+			return new CallSpec(this.service, this.operation, this.requestId, Optional.of(written), this.attempt,
+					this.body, this.crashTarget);
+		}
+
+		/**
+		 * Counts one more attempt.
+		 * @return the changed request
+		 */
+		public CallSpec again() {
+			return new CallSpec(this.service, this.operation, this.requestId, this.ticket, this.attempt + 1, this.body,
+					this.crashTarget);
+		}
+
+	}
+
+	/**
+	 * An answer.
+	 *
+	 * @param status HTTP status
+	 * @param ran header {@code Request-Ran}; empty when absent
+	 * @param requestId header {@code Request-Id}; empty when absent
+	 * @param version header {@code Config-Version}; empty when absent
+	 * @param retryAfter header {@code Retry-After}; empty when absent
+	 * @param location header {@code Location}; empty when absent
+	 * @param body the whole body
+	 */
+	public record CallAnswer(int status, Optional<String> ran, Optional<String> requestId, Optional<String> version,
+			Optional<String> retryAfter, Optional<String> location, byte[] body) {
+
+	}
+
+	/**
+	 * Body of an answer with tickets.
+	 *
+	 * @param tickets the tickets
+	 */
+	private record TicketList(List<String> tickets) {
+
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/LoadGenerator.java
@@ -0,0 +1,229 @@
+package org.eelgrasspitch.testkit;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Callers that send requests at a steady pace to randomly chosen nodes. An at-most-once
+ * request is sent again, with the same ticket and bytes, to another node whenever its
+ * outcome is not final; every answer is checked to belong to its own request and to be
+ * whole.
+ */
+public final class LoadGenerator implements AutoCloseable {
+
+	private static final int MAX_RESENDS = 4;
+
+	private static final int OK = 200;
+
+	private static final int ACCEPTED = 202;
+
+	private static final int OTHER_ERROR = 599;
+
+	private final HttpCaller caller;
+
+	private final List<InetSocketAddress> nodes;
+
+	private final List<Flow> flows;
+
+	private final List<Thread> threads = new ArrayList<>();
+
+	private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
+
+	private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
+
+	/** Identifiers of requests that a refusal said did not run. */
+	private final ConcurrentLinkedQueue<String> refused = new ConcurrentLinkedQueue<>();
+
+	/** Identifiers of at-most-once requests that were answered. */
+	private final ConcurrentLinkedQueue<String> paid = new ConcurrentLinkedQueue<>();
+
+	private volatile boolean stopping;
+
+	/**
+	 * Creates a generator.
+	 * @param nodes where nodes accept callers
+	 * @param flows what to send
+	 * @param timeoutMillis longest time for one request, in milliseconds
+	 */
+	public LoadGenerator(List<InetSocketAddress> nodes, List<Flow> flows, long timeoutMillis) {
+		this.caller = new HttpCaller(timeoutMillis);
+		this.nodes = List.copyOf(nodes);
+		this.flows = List.copyOf(flows);
+	}
+
+	/**
+	 * Starts to send.
+	 * @param seed seed of all random choices
+	 */
+	public void start(long seed) {
+		for (int index = 0; index < this.flows.size(); index++) {
+			Flow flow = this.flows.get(index);
+			SplittableRandom random = new SplittableRandom(seed + index);
+			Thread thread = new Thread(() -> run(flow, random), "load-" + index);
+			thread.setDaemon(true);
+			this.threads.add(thread);
+			thread.start();
+		}
+	}
+
+	/**
+	 * Stops sending and waits for requests in flight.
+	 */
+	public void stop() {
+		this.stopping = true;
+		for (Thread thread : this.threads) {
+			try {
+				thread.join();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Returns how requests ended.
+	 * @return the number of requests by the last answer
+	 */
+	public Map<String, Integer> outcomes() {
+		Map<String, Integer> copy = new TreeMap<>();
+		this.outcomes.forEach((name, count) -> copy.put(name, count.get()));
+		return copy;
+	}
+
+	/**
+	 * Returns answers that broke a promise.
+	 * @return one line for each
+	 */
+	public List<String> violations() {
+		return List.copyOf(this.violations);
+	}
+
+	/**
+	 * Returns requests whose last answer said that they did not run.
+	 * @return their identifiers
+	 */
+	public List<String> refused() {
+		return List.copyOf(this.refused);
+	}
+
+	/**
+	 * Returns at-most-once requests that were answered.
+	 * @return their identifiers
+	 */
+	public List<String> paid() {
+		return List.copyOf(this.paid);
+	}
+
+	@Override
+	public void close() {
+		stop();
+		this.caller.close();
+	}
+
+	private void run(Flow flow, SplittableRandom random) {
+		int number = 0;
+		while (!this.stopping) {
+			String id = flow.service() + "-" + flow.operation() + "-" + Thread.currentThread().getName() + "-"
+					+ number++;
+			if (flow.atMostOnce()) {
+				pay(flow, id, random);
+			}
+			else {
+				look(flow, id, random);
+			}
+			Cluster.sleep(flow.pauseMillis());
+		}
+	}
+
+	private void look(Flow flow, String id, SplittableRandom random) {
+		HttpCaller.CallSpec call = HttpCaller.CallSpec.of(flow.service(), flow.operation(), id);
+		record(flow, id, this.caller.call(anyNode(random), call));
+	}
+
+	private void pay(Flow flow, String id, SplittableRandom random) {
+		List<String> tickets = this.caller.tickets(anyNode(random), flow.service(), flow.operation(), 1);
+		if (tickets.isEmpty()) {
+			count(flow, "no ticket");
+			return;
+		}
+		byte[] body = ("payment " + id).getBytes(StandardCharsets.UTF_8);
+		HttpCaller.CallSpec call = new HttpCaller.CallSpec(flow.service(), flow.operation(), id,
+				Optional.of(tickets.get(0)), 1, body, false);
+		Optional<HttpCaller.CallAnswer> answer = Optional.empty();
+		for (int attempt = 0; attempt <= MAX_RESENDS && !isFinal(answer); attempt++) {
+			answer = this.caller.call(anyNode(random), call);
+			call = call.again();
+		}
+		record(flow, id, answer);
+	}
+
+	private static boolean isFinal(Optional<HttpCaller.CallAnswer> answer) {
+		return answer.isPresent() && answer.get().status() != ACCEPTED && !answer.get().ran().orElse("").equals("no");
+	}
+
+	private void record(Flow flow, String id, Optional<HttpCaller.CallAnswer> answer) {
+		if (answer.isEmpty()) {
+			count(flow, "no answer");
+			return;
+		}
+		HttpCaller.CallAnswer got = answer.get();
+		String ran = got.ran().orElse("");
+		count(flow, (got.status() == OK) ? "answered" : "status " + got.status() + " ran " + ran);
+		if (got.status() == OK) {
+			check(id, got);
+			if (flow.atMostOnce()) {
+				this.paid.add(id);
+			}
+		}
+		else if (ran.equals("no")) {
+			this.refused.add(id);
+		}
+		else if (got.status() >= OTHER_ERROR) {
+			this.violations.add(id + ": status " + got.status());
+		}
+	}
+
+	private void check(String id, HttpCaller.CallAnswer got) {
+		TargetStandIn.Answer answer = Json.read(got.body(), TargetStandIn.Answer.class);
+		if (!id.equals(answer.requestId()) || !got.requestId().orElse("").equals(id)) {
+			this.violations.add(id + ": got the answer to " + answer.requestId());
+		}
+		if (got.version().isEmpty()) {
+			this.violations.add(id + ": answer without a configuration version");
+		}
+	}
+
+	private void count(Flow flow, String outcome) {
+		this.outcomes
+			.computeIfAbsent(flow.service() + "/" + flow.operation() + " " + outcome, (name) -> new AtomicInteger())
+			.incrementAndGet();
+	}
+
+	private InetSocketAddress anyNode(SplittableRandom random) {
+		return this.nodes.get(random.nextInt(this.nodes.size()));
+	}
+
+	/**
+	 * One sequence of requests.
+	 *
+	 * @param service the service
+	 * @param operation the operation
+	 * @param atMostOnce true when the operation must not run twice for one request
+	 * @param pauseMillis pause between requests, in milliseconds
+	 */
+	public record Flow(String service, String operation, boolean atMostOnce, long pauseMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/StandInServer.java
@@ -0,0 +1,37 @@
+package org.eelgrasspitch.testkit;
+
+import java.net.InetSocketAddress;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+
+/**
+ * Starts the HTTP side of a stand-in. Handlers run on event loops and must not block.
+ */
+final class StandInServer implements AutoCloseable {
+
+	private static final int THREADS = 2;
+
+	private static final int MAX_REQUEST_BYTES = 4 * 1024 * 1024;
+
+	private final Jooby app;
+
+	StandInServer(Jooby app, InetSocketAddress address) {
+		this.app = app;
+		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+		ServerOptions options = new ServerOptions().setPort(address.getPort())
+			.setIoThreads(THREADS)
+			.setWorkerThreads(THREADS)
+			.setMaxRequestSize(MAX_REQUEST_BYTES);
+		options.setHost(address.getAddress().getHostAddress());
+		app.setServerOptions(options);
+		app.start();
+	}
+
+	@Override
+	public void close() {
+		this.app.stop();
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -0,0 +1,243 @@
+package org.eelgrasspitch.testkit;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.StatusCode;
+import org.eelgrasspitch.misc.Closer;
+
+/**
+ * Stands in for a target. {@code POST /{operation}} runs an operation;
+ * {@code GET /health} and {@code GET /load} tell its state, late or wrongly when so told;
+ * {@code POST /-/faults} switches faults; {@code GET /-/executions} lists how often each
+ * request started.
+ * <p>
+ * A request takes the service time, longer while the target is cold. Above its slots it
+ * sheds, with status 503 and {@code Request-Ran: no}; likewise while draining. A request
+ * with the header {@code Crash-Target: yes} starts and then crashes the target.
+ */
+public final class TargetStandIn implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int GONE = 410;
+
+	private static final int COLD_FACTOR = 3;
+
+	private final Closer closer = new Closer();
+
+	private final Options options;
+
+	private final Runnable crash;
+
+	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+
+	private final long startedAt = System.nanoTime();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	/** Requests received after draining began, whether started or not. */
+	private final AtomicInteger receivedWhileDraining = new AtomicInteger();
+
+	/** Starts by request identifier; guarded by its own lock. */
+	private final Map<String, Integer> executions;
+
+	private volatile boolean draining;
+
+	private volatile long serviceMillis;
+
+	private volatile String healthLie = "";
+
+	/**
+	 * Starts a target.
+	 * @param options its properties
+	 * @param executions where starts are recorded by request identifier; survives a crash
+	 * of this object
+	 * @param crash what a crash does
+	 */
+	public TargetStandIn(Options options, Map<String, Integer> executions, Runnable crash) {
+		this.options = options;
+		this.executions = executions;
+		this.crash = crash;
+		this.serviceMillis = options.serviceMillis();
+		this.closer.register(this.timer::shutdownNow);
+		Jooby app = new Jooby();
+		app.get("/health", (context) -> text(context, OK, health()));
+		app.get("/load", (context) -> text(context, OK, this.running.get() + "/" + options.slots()));
+		app.get("/-/executions", (context) -> text(context, OK, Json.write(executionList())));
+		app.post("/-/faults", this::faults);
+		app.post("/{operation}", this::run);
+		this.closer.register(new StandInServer(app, options.address()));
+	}
+
+	/**
+	 * Creates a table of executions for a target.
+	 * @return an empty map
+	 */
+	public static Map<String, Integer> newExecutions() {
+		return new TreeMap<>();
+	}
+
+	/**
+	 * Switches draining on or off.
+	 * @param on true to refuse new work
+	 */
+	public void drain(boolean on) {
+		this.draining = on;
+	}
+
+	/**
+	 * Sets the time that a request takes.
+	 * @param millis milliseconds
+	 */
+	public void serviceMillis(long millis) {
+		this.serviceMillis = millis;
+	}
+
+	/**
+	 * Returns how many requests arrived while draining.
+	 * @return the number since the start
+	 */
+	public int receivedWhileDraining() {
+		return this.receivedWhileDraining.get();
+	}
+
+	/**
+	 * Returns how often each request started.
+	 * @return one entry for each request identifier
+	 */
+	public List<Execution> executionList() {
+		synchronized (this.executions) {
+			List<Execution> list = new ArrayList<>();
+			this.executions.forEach((id, count) -> list.add(new Execution(id, count)));
+			return list;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+	private Object run(Context context) throws Exception {
+		String id = context.header("Request-Id").value("");
+		if (this.draining) {
+			this.receivedWhileDraining.incrementAndGet();
+			context.setResponseHeader("Target-State", "leaving");
+			return refuse(context);
+		}
+		if (this.running.incrementAndGet() > this.options.slots()) {
+			this.running.decrementAndGet();
+			return refuse(context);
+		}
+		synchronized (this.executions) {
+			this.executions.merge(id, 1, Integer::sum);
+		}
+		if ("yes".equals(context.header("Crash-Target").value(""))) {
+			this.crash.run();
+			return context;
+		}
+		long deadline = context.header("Request-Deadline-Millis").longValue(Long.MAX_VALUE);
+		String operation = context.path("operation").value();
+		int bodyLength = context.body().bytes().length;
+		return context.detach((detached) -> {
+			long takes = takesMillis();
+			this.timer.schedule(() -> finish(context, id, operation, bodyLength, takes > deadline),
+					Math.min(takes, deadline), TimeUnit.MILLISECONDS);
+			return context;
+		});
+	}
+
+	private void finish(Context context, String id, String operation, int bodyLength, boolean abandoned) {
+		this.running.decrementAndGet();
+		context.setResponseHeader("Request-Id", id);
+		String answer = Json.write(new Answer(id, operation, this.options.name(), bodyLength));
+		String padding = " ".repeat(this.options.answerPadding());
+		text(context, abandoned ? GONE : OK, answer + padding);
+	}
+
+	private long takesMillis() {
+		long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAt);
+		if (age >= this.options.coldMillis()) {
+			return this.serviceMillis;
+		}
+		return this.serviceMillis * COLD_FACTOR;
+	}
+
+	private String health() {
+		if (!this.healthLie.isEmpty()) {
+			return this.healthLie;
+		}
+		return this.draining ? "draining" : "ok";
+	}
+
+	private Object faults(Context context) {
+		context.query("drain").toOptional().ifPresent((on) -> drain(Boolean.parseBoolean(on)));
+		context.query("serviceMillis").toOptional().ifPresent((millis) -> serviceMillis(Long.parseLong(millis)));
+		context.query("health").toOptional().ifPresent((lie) -> this.healthLie = lie);
+		return text(context, OK, Integer.toString(receivedWhileDraining()));
+	}
+
+	private static Object refuse(Context context) {
+		context.setResponseHeader("Request-Ran", "no");
+		return text(context, UNAVAILABLE, "not started");
+	}
+
+	private static Object text(Context context, int status, String body) {
+		context.setResponseCode(StatusCode.valueOf(status));
+		context.setResponseType(MediaType.text);
+		return context.send(body.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Properties of a target.
+	 *
+	 * @param name name of its VM
+	 * @param address where it listens
+	 * @param slots requests it works on at a time
+	 * @param serviceMillis time that a request takes, in milliseconds
+	 * @param coldMillis time after the start during which requests take longer, in
+	 * milliseconds
+	 * @param answerPadding bytes added to each answer
+	 */
+	public record Options(String name, InetSocketAddress address, int slots, long serviceMillis, long coldMillis,
+			int answerPadding) {
+
+	}
+
+	/**
+	 * How often a request started.
+	 *
+	 * @param requestId the request's identifier
+	 * @param count starts
+	 */
+	public record Execution(String requestId, int count) {
+
+	}
+
+	/**
+	 * Body of an answer.
+	 *
+	 * @param requestId identifier of the request that is answered
+	 * @param operation the operation that ran
+	 * @param target name of the target's VM
+	 * @param bodyLength length of the request's body, in bytes
+	 */
+	public record Answer(String requestId, String operation, String target, int bodyLength) {
+
+	}
+
+}
