--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/SelfCheckCommand.java
@@ -0,0 +1,26 @@
+package org.eelgrasspitch.cli;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.testkit.SelfCheck;
+
+/**
+ * Checks that this machine can run the system.
+ */
+final class SelfCheckCommand implements Command {
+
+	@Override
+	public void register(Subparsers parsers) {
+		parsers.addParser("self-check")
+			.help("run platform, target and node in one process and send one request")
+			.description("Exit code 0 when the request was answered. Example: eelgrasspitch self-check");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		boolean answered = SelfCheck.run();
+		System.out.println(answered ? "self-check passed" : "self-check failed");
+		return answered ? ExitCode.OK : ExitCode.FAILED;
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions.
+ */
+package org.eelgrasspitch;
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 
 import io.jooby.Jooby;
+import io.jooby.Server;
 import io.jooby.ServerOptions;
 import org.eelgrasspitch.fleet.FleetEvent;
 import org.eelgrasspitch.fleet.FleetMember;
@@ -133,8 +134,8 @@
 			.setMaxRequestSize(WireLimits.MAX_BODY_BYTES);
 		options.setHost(address.getAddress().getHostAddress());
 		app.setServerOptions(options);
-		app.start();
-		this.closer.register(app::stop);
+		Server server = app.start();
+		this.closer.register(server::stop);
 	}
 
 }
--- /dev/null
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -0,0 +1,203 @@
+package org.eelgrasspitch.scenarios;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.testkit.Cluster;
+import org.eelgrasspitch.testkit.Deployment;
+import org.eelgrasspitch.testkit.DeploymentWriter;
+import org.eelgrasspitch.testkit.HttpCaller;
+import org.eelgrasspitch.testkit.LinkSwitch;
+import org.eelgrasspitch.testkit.PlatformStandIn;
+import org.eelgrasspitch.testkit.TargetStandIn;
+import org.eelgrasspitch.text.Channel;
+
+/**
+ * What the steps of one scenario share: a cluster of real node processes, with platform
+ * and targets in the test's own process so that steps can look into them.
+ */
+public class World {
+
+	private static final Pattern ACCEPTED = Pattern.compile("\"version_accepted\",\"detail\":\"TEXT (\\d+)@");
+
+	private static final int FIRST_OCTET = 110;
+
+	private static final int LAST_OCTET = 200;
+
+	/** Second number of the next scenario's addresses; each scenario uses its own. */
+	private static int nextOctet = FIRST_OCTET;
+
+	private final Closer closer = new Closer();
+
+	private final Map<String, TargetStandIn> targets = new HashMap<>();
+
+	private final Map<String, Map<String, Integer>> executions = new TreeMap<>();
+
+	private DeploymentWriter writer;
+
+	private Cluster cluster;
+
+	private PlatformStandIn platform;
+
+	private LinkSwitch links;
+
+	private Path logs;
+
+	/** Revision of the latest text that was published and is acceptable. */
+	private long latest;
+
+	/**
+	 * Slots in the latest text; every change uses a new number, so that each text
+	 * differs.
+	 */
+	private int slots = 10;
+
+	void start(int nodes, int failureDomains, String extraSettings) {
+		List<String> names = new ArrayList<>();
+		for (int index = 1; index <= failureDomains; index++) {
+			names.add("fd-" + index);
+		}
+		this.writer = new DeploymentWriter(takeOctet(), names, List.of("renewals", "archive"), nodes, true,
+				extraSettings);
+		try {
+			this.logs = Files.createDirectories(Path.of(System.getProperty("eelgrasspitch.logs", "target/logs")));
+			this.logs = Files.createTempDirectory(this.logs, "scenario");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		Deployment deployment = this.writer.write(this.logs.resolve("deployment"), this.writer.text(this.slots, 0, 0));
+		this.cluster = this.closer.register(new Cluster(deployment, this.logs));
+		this.platform = this.cluster.embedPlatform();
+		this.links = this.closer.register(new LinkSwitch(deployment));
+		deployment.members().forEach((member) -> startTarget(member.settings().vm()));
+		this.platform.publish(Channel.VMS, deployment.vms());
+		this.latest = this.platform.publish(Channel.TEXT, deployment.text());
+		this.cluster.startNodes();
+	}
+
+	private static synchronized int takeOctet() {
+		int taken = nextOctet;
+		nextOctet = (taken + 2 < LAST_OCTET) ? taken + 2 : FIRST_OCTET;
+		return taken;
+	}
+
+	void startTarget(String vm) {
+		Map<String, Integer> record = this.executions.computeIfAbsent(vm, (name) -> TargetStandIn.newExecutions());
+		TargetStandIn.Options options = new TargetStandIn.Options(vm,
+				this.cluster.deployment().member(vm).settings().targetAddress(), this.slots, 2, 0, 0);
+		this.targets.put(vm, this.closer.register(new TargetStandIn(options, record, () -> {
+		})));
+	}
+
+	long publishChange() {
+		this.slots++;
+		this.latest = this.platform.publish(Channel.TEXT, this.writer.text(this.slots, 0, 0));
+		return this.latest;
+	}
+
+	long publishBad(byte[] text) {
+		return this.platform.publish(Channel.TEXT, text);
+	}
+
+	DeploymentWriter writer() {
+		return this.writer;
+	}
+
+	Cluster cluster() {
+		return this.cluster;
+	}
+
+	PlatformStandIn platform() {
+		return this.platform;
+	}
+
+	LinkSwitch links() {
+		return this.links;
+	}
+
+	HttpCaller caller() {
+		return this.cluster.control();
+	}
+
+	TargetStandIn target(String vm) {
+		return this.targets.get(vm);
+	}
+
+	long latest() {
+		return this.latest;
+	}
+
+	List<String> vmsOf(String failureDomain) {
+		return this.cluster.deployment()
+			.members()
+			.stream()
+			.filter((member) -> member.settings().failureDomain().equals(failureDomain))
+			.map((member) -> member.settings().vm())
+			.toList();
+	}
+
+	/**
+	 * Returns how often each request started, over all targets.
+	 */
+	Map<String, Integer> starts() {
+		Map<String, Integer> total = new TreeMap<>();
+		this.executions.values().forEach((record) -> {
+			synchronized (record) {
+				record.forEach((id, count) -> total.merge(id, count, Integer::sum));
+			}
+		});
+		return total;
+	}
+
+	/**
+	 * Returns the revisions that a node accepted, over all its processes, in order.
+	 */
+	List<Long> acceptedRevisions(String vm) {
+		try {
+			List<Long> revisions = new ArrayList<>();
+			for (String line : Files.readAllLines(this.logs.resolve("node-" + vm + ".log"))) {
+				Matcher matcher = ACCEPTED.matcher(line);
+				if (matcher.find()) {
+					revisions.add(Long.valueOf(matcher.group(1)));
+				}
+			}
+			return revisions;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Returns the VMs whose node at some time went to an older revision.
+	 */
+	List<String> movedBack() {
+		List<String> back = new ArrayList<>();
+		for (String vm : this.cluster.vms()) {
+			List<Long> revisions = acceptedRevisions(vm);
+			for (int index = 1; index < revisions.size(); index++) {
+				if (revisions.get(index) < revisions.get(index - 1)) {
+					back.add(vm + " " + revisions);
+					break;
+				}
+			}
+		}
+		return back;
+	}
+
+	void close() {
+		this.closer.close();
+	}
+
+}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/JavaProcess.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/JavaProcess.java
@@ -1,8 +1,8 @@
 package org.eelgrasspitch.testkit;
 
-import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +17,8 @@
 	/** The command line's main class. */
 	public static final String MAIN_CLASS = "org.eelgrasspitch.cli.Main";
 
+	private static final String CLI_JAR = "eelgrasspitch-cli-0.1.0.jar";
+
 	private static final long EXIT_MILLIS = 5_000;
 
 	private final String name;
@@ -38,14 +40,15 @@
 	public static JavaProcess start(String name, Path log, List<String> arguments) {
 		List<String> command = new ArrayList<>();
 		command.add(ProcessHandle.current().info().command().orElse("java"));
-		command.addAll(List.of("-XX:+UseSerialGC", "-Xms24m", "-Xmx96m", "-Xss512k", "-XX:TieredStopAtLevel=4",
-				"-XX:CICompilerCount=2", "-Dio.netty.eventLoopThreads=2", "-Xshare:auto",
-				"-Djdk.attach.allowAttachSelf=false"));
-		String archive = System.getProperty("eelgrasspitch.archive", "");
-		if (new File(archive).isFile()) {
+		Path home = Path.of(System.getProperty("eelgrasspitch.home", "."));
+		command.add("@" + home.resolve("config/node.jvmoptions"));
+		command.add("-Deelgrasspitch.home=" + home);
+		Path target = home.resolve("cli/target");
+		Path archive = target.resolve("eelgrasspitch.jsa");
+		if (Files.isRegularFile(archive)) {
 			command.add("-XX:SharedArchiveFile=" + archive);
 		}
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN_CLASS));
+		command.addAll(List.of("-cp", target.resolve(CLI_JAR) + ":" + target.resolve("lib") + "/*", MAIN_CLASS));
 		command.addAll(arguments);
 		try {
 			ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/LinkSwitch.java
@@ -0,0 +1,201 @@
+package org.eelgrasspitch.testkit;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Passes the traffic between nodes on and can cut it. It listens on every node's
+ * advertised address and forwards to the node's real one; it knows the sender by the
+ * source address, because nodes dial from their own addresses.
+ * <p>
+ * A cut from one VM to another swallows the bytes of that direction, as a broken network
+ * would; nobody is told. When it heals, connections that lost bytes are closed, because a
+ * stream with a hole in it could not go on.
+ */
+public final class LinkSwitch implements AutoCloseable {
+
+	private static final long SHUTDOWN_MILLIS = 1_000;
+
+	private final EventLoopGroup group = new NioEventLoopGroup(2);
+
+	/** Names of VMs by their own IP address. */
+	private final Map<String, String> names = new HashMap<>();
+
+	/** Directions that are cut; guarded by its own lock. */
+	private final Set<Direction> cuts = new HashSet<>();
+
+	/** Connections that lost bytes. */
+	private final Set<Channel> damaged = ConcurrentHashMap.newKeySet();
+
+	private final List<Channel> servers = new ArrayList<>();
+
+	private volatile long delayMillis;
+
+	/**
+	 * Starts to listen for every member of a deployment.
+	 * @param deployment a deployment with advertised addresses of their own
+	 */
+	public LinkSwitch(Deployment deployment) {
+		for (Deployment.Member member : deployment.members()) {
+			this.names.put(member.settings().peerAddress().getAddress().getHostAddress(), member.settings().vm());
+		}
+		for (Deployment.Member member : deployment.members()) {
+			listen(member.settings().vm(), member.settings().advertisedAddress(), member.settings().peerAddress());
+		}
+	}
+
+	/**
+	 * Cuts one direction.
+	 * @param from the VM whose bytes are swallowed
+	 * @param to the VM that they were meant for
+	 */
+	public void cut(String from, String to) {
+		synchronized (this.cuts) {
+			this.cuts.add(new Direction(from, to));
+		}
+	}
+
+	/**
+	 * Ends all cuts.
+	 */
+	public void heal() {
+		synchronized (this.cuts) {
+			this.cuts.clear();
+		}
+		this.damaged.forEach(Channel::close);
+		this.damaged.clear();
+	}
+
+	/**
+	 * Delays everything that is forwarded.
+	 * @param millis milliseconds one way
+	 */
+	public void delayMillis(long millis) {
+		this.delayMillis = millis;
+	}
+
+	@Override
+	public void close() {
+		this.servers.forEach(Channel::close);
+		this.group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SHUTDOWN_MILLIS);
+	}
+
+	private boolean isCut(Direction direction) {
+		synchronized (this.cuts) {
+			return this.cuts.contains(direction);
+		}
+	}
+
+	private void listen(String vm, InetSocketAddress advertised, InetSocketAddress real) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.AUTO_READ, false)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					forward(channel, vm, real);
+				}
+			});
+		this.servers.add(bootstrap.bind(advertised).syncUninterruptibly().channel());
+	}
+
+	private void forward(Channel dialler, String vm, InetSocketAddress real) {
+		String source = ((InetSocketAddress) dialler.remoteAddress()).getAddress().getHostAddress();
+		String from = this.names.getOrDefault(source, source);
+		new Bootstrap().group(dialler.eventLoop())
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.AUTO_READ, false)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline().addLast(new Pipe(dialler, new Direction(vm, from)));
+				}
+			})
+			.connect(real)
+			.addListener((io.netty.channel.ChannelFutureListener) (future) -> {
+				if (!future.isSuccess()) {
+					dialler.close();
+					return;
+				}
+				dialler.pipeline().addLast(new Pipe(future.channel(), new Direction(from, vm)));
+				dialler.config().setAutoRead(true);
+				future.channel().config().setAutoRead(true);
+			});
+	}
+
+	/**
+	 * One direction between two VMs.
+	 *
+	 * @param from the sending VM
+	 * @param to the receiving VM
+	 */
+	private record Direction(String from, String to) {
+
+	}
+
+	/**
+	 * Forwards what arrives on one connection to another one.
+	 */
+	private final class Pipe extends ChannelInboundHandlerAdapter {
+
+		private final Channel other;
+
+		private final Direction direction;
+
+		Pipe(Channel other, Direction direction) {
+			this.other = other;
+			this.direction = direction;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (isCut(this.direction) || LinkSwitch.this.damaged.contains(context.channel())) {
+				ReferenceCountUtil.release(message);
+				LinkSwitch.this.damaged.add(context.channel());
+				return;
+			}
+			long delay = LinkSwitch.this.delayMillis;
+			if (delay == 0) {
+				this.other.writeAndFlush(message);
+				return;
+			}
+			context.executor().schedule(() -> this.other.writeAndFlush(message), delay, TimeUnit.MILLISECONDS);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (!isCut(this.direction)) {
+				this.other.close();
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/StandInServer.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/StandInServer.java
@@ -4,6 +4,7 @@
 
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
+import io.jooby.Server;
 import io.jooby.ServerOptions;
 
 /**
@@ -15,10 +16,9 @@
 
 	private static final int MAX_REQUEST_BYTES = 4 * 1024 * 1024;
 
-	private final Jooby app;
+	private final Server server;
 
 	StandInServer(Jooby app, InetSocketAddress address) {
-		this.app = app;
 		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		ServerOptions options = new ServerOptions().setPort(address.getPort())
 			.setIoThreads(THREADS)
@@ -26,12 +26,12 @@
 			.setMaxRequestSize(MAX_REQUEST_BYTES);
 		options.setHost(address.getAddress().getHostAddress());
 		app.setServerOptions(options);
-		app.start();
+		this.server = app.start();
 	}
 
 	@Override
 	public void close() {
-		this.app.stop();
+		this.server.stop();
 	}
 
 }
