--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -319,12 +319,22 @@
 		Optional<Document> document = this.holdings.assemble(parts);
 		if (document.isEmpty()) {
 			note(NoteKind.PARTS_DAMAGED, link.peer().vm() + " sent " + parts.version().get());
+			drop(link, now);
 			return;
 		}
 		decided(parts.channel(), document.get().version().revision(), this.holdings.offer(document.get()));
 		pullIfBehind(now);
 	}
 
+	/**
+	 * Closes a link whose peer sent something unusable; its address is tried again later.
+	 */
+	private void drop(Link link, long now) {
+		this.links.closed(link.id(), now);
+		this.effects.add(new FleetEffect.CloseLink(link.id()));
+		pullIfBehind(now);
+	}
+
 	private void decided(Channel channel, long revision, Verdict<?> verdict) {
 		switch (verdict) {
 			case Verdict.Accepted<?> accepted -> accepted(channel, accepted.checked());
@@ -408,6 +418,7 @@
 		boolean newer = mentioned.revision() > text().seenRevision();
 		if (newer && now - this.mentionedAt >= QUERY_INTERVAL_MILLIS) {
 			this.mentionedAt = now;
+			note(NoteKind.REVISION_MENTIONED, "somebody uses " + mentioned.revision());
 			askPeers();
 		}
 	}
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
@@ -65,4 +65,15 @@
 				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
 	}
 
+	/**
+	 * Returns these settings with another wait for peers at the start.
+	 * @param millis longest wait before the first text is taken; 0 asks nobody
+	 * @return the changed settings
+	 */
+	public FleetSettings withStartMillis(long millis) {
+		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
+				this.pauseMillis, millis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+	}
+
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/NoteKind.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/NoteKind.java
@@ -24,6 +24,9 @@
 	/** Parts from a peer did not fit together. */
 	PARTS_DAMAGED,
 
+	/** A caller or node uses a later version than the one held. */
+	REVISION_MENTIONED,
+
 	/** The process was paused. */
 	PAUSED,
 
--- a/core/src/main/java/org/eelgrasspitch/misc/LocatedReader.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/LocatedReader.java
@@ -14,7 +14,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
-import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 
 /**
@@ -27,6 +26,9 @@
 	/** Deepest nesting accepted. */
 	public static final int MAX_DEPTH = 32;
 
+	/** How the library begins its message about a document that ends too early. */
+	private static final String END_OF_INPUT = "Unexpected end-of-input";
+
 	private static final JsonFactory FACTORY = new JsonFactoryBuilder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
 		.enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
 		.streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH * 2).build())
@@ -59,11 +61,8 @@
 		try (JsonParser parser = FACTORY.createParser(content)) {
 			return readDocument(parser);
 		}
-		catch (JsonEOFException ex) {
-			report(ErrorType.TRUNCATED, position(ex.getLocation()));
-		}
 		catch (JsonProcessingException ex) {
-			report(ErrorType.SYNTAX, position(ex.getLocation()), firstLine(ex.getOriginalMessage()));
+			reportSyntax(ex);
 		}
 		catch (IOException ex) {
 			report(ErrorType.SYNTAX, Position.UNKNOWN, firstLine(ex.getMessage()));
@@ -71,6 +70,15 @@
 		return Optional.empty();
 	}
 
+	private void reportSyntax(JsonProcessingException cause) {
+		String message = firstLine(cause.getOriginalMessage());
+		if (message.startsWith(END_OF_INPUT)) {
+			report(ErrorType.TRUNCATED, position(cause.getLocation()));
+			return;
+		}
+		report(ErrorType.SYNTAX, position(cause.getLocation()), message);
+	}
+
 	private Optional<LocatedNode> readDocument(JsonParser parser) throws IOException {
 		if (parser.nextToken() == null) {
 			report(ErrorType.TRUNCATED, position(parser.currentLocation()));
--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/FleetScript.java
@@ -0,0 +1,182 @@
+package org.eelgrasspitch;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.fleet.FleetEffect;
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.fleet.FleetMember;
+import org.eelgrasspitch.fleet.FleetSettings;
+import org.eelgrasspitch.fleet.Peer;
+import org.eelgrasspitch.fleet.PeerMessage;
+import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.Document;
+import org.eelgrasspitch.text.TextTool;
+import org.eelgrasspitch.text.Version;
+
+/**
+ * Plays a script on one {@link FleetMember} and prints the changes that matter: texts
+ * published, life states, and notes. Lines start with {@code at MILLIS}; until then the
+ * member gets a tick every 100 ms, unless the line says {@code paused}.
+ * <p>
+ * Verbs: {@code link NAME} opens an outbound link to a peer (a seed);
+ * {@code status NAME REVISION AGE} delivers a peer's status with the nonce last asked
+ * for; {@code heartbeat NAME REVISION AGE} delivers one without nonce;
+ * {@code serves REVISION} answers the latest platform call for the text;
+ * {@code bad REVISION} answers it with a bad text; {@code unchanged REVISION} answers
+ * that nothing is newer; {@code parts NAME REVISION} answers a pull;
+ * {@code damaged NAME REVISION} answers it with a wrong part; {@code tick} does nothing
+ * more.
+ */
+final class FleetScript {
+
+	private static final long TICK_MILLIS = 100;
+
+	private final Peer self = peer("self", 1);
+
+	private final FleetMember member;
+
+	private final Map<String, Long> links = new HashMap<>();
+
+	/** Latest sequence number of a platform call for the text; 0 before the first. */
+	private long sequence;
+
+	private long nonce;
+
+	private long now;
+
+	private final List<String> output = new ArrayList<>();
+
+	private FleetScript(String first) {
+		String seeds = first.substring(first.indexOf("seeds") + "seeds".length()).strip();
+		List<InetSocketAddress> addresses = Arrays.stream(seeds.split(" "))
+			.map((name) -> peer(name, 2).address())
+			.toList();
+		FleetSettings settings = FleetSettings.of(this.self, addresses, Distribution.PARTS);
+		settings = first.startsWith("nogate") ? settings.withStartMillis(0) : settings;
+		settings = first.startsWith("nopause") ? settings.withPauseMillis(Long.MAX_VALUE) : settings;
+		this.member = new FleetMember(settings, new SplittableRandom(7), 0);
+	}
+
+	static String run(String script) {
+		List<String> lines = script.strip().lines().toList();
+		FleetScript player = new FleetScript(lines.get(0));
+		lines.stream().skip(1).forEach(player::play);
+		return String.join("\n", player.output);
+	}
+
+	private void play(String line) {
+		String[] words = line.split(" ");
+		long until = Long.parseLong(words[1]);
+		boolean paused = words[2].equals("paused");
+		while (!paused && this.now + TICK_MILLIS < until) {
+			this.now += TICK_MILLIS;
+			handle(new FleetEvent.Ticked());
+		}
+		this.now = until;
+		this.output.add(line);
+		act(words);
+	}
+
+	private void act(String[] words) {
+		switch (words[2]) {
+			case "link" -> {
+				this.links.put(words[3], this.links.size() + 1L);
+				Peer peer = peer(words[3], 2);
+				handle(new FleetEvent.LinkOpened(this.links.get(words[3]), peer, true, peer.address()));
+			}
+			case "status" -> receive(words[3], status(words, this.nonce));
+			case "heartbeat" -> receive(words[3], status(words, 0));
+			case "serves" -> handle(new FleetEvent.PlatformServed(Channel.TEXT, this.sequence, Long.parseLong(words[3]),
+					text(Long.parseLong(words[3]))));
+			case "bad" -> handle(new FleetEvent.PlatformServed(Channel.TEXT, this.sequence, Long.parseLong(words[3]),
+					"{".getBytes(StandardCharsets.UTF_8)));
+			case "unchanged" ->
+				handle(new FleetEvent.PlatformUnchanged(Channel.TEXT, this.sequence, Long.parseLong(words[3])));
+			case "parts" -> receive(words[3], parts(Long.parseLong(words[4]), 0));
+			case "damaged" -> receive(words[3], parts(Long.parseLong(words[4]), 1));
+			case "tick", "paused" -> handle(new FleetEvent.Ticked());
+			default -> throw new IllegalArgumentException(words[2]);
+		}
+	}
+
+	private void receive(String name, PeerMessage message) {
+		handle(new FleetEvent.Received(this.links.get(name), message));
+	}
+
+	private void handle(FleetEvent event) {
+		for (FleetEffect effect : this.member.handle(event, this.now)) {
+			switch (effect) {
+				case FleetEffect.PublishText text -> this.output.add("  text " + text.snapshot().version().revision());
+				case FleetEffect.LifeChanged life -> this.output.add("  " + life.state().toString().toLowerCase());
+				case FleetEffect.Note note -> note(note);
+				case FleetEffect.CallPlatform call when call.channel() == Channel.TEXT ->
+					this.sequence = call.sequence();
+				case FleetEffect.Send send when send.message() instanceof PeerMessage.Query query ->
+					this.nonce = query.nonce();
+				case FleetEffect.Send send when send.message() instanceof PeerMessage.Pull pull ->
+					this.output.add("  pull " + pull.channel() + " from " + name(send.link()));
+				case FleetEffect.CloseLink close -> this.output.add("  close " + name(close.link()));
+				default -> {
+					// Nothing that these scripts look at.
+				}
+			}
+		}
+	}
+
+	private void note(FleetEffect.Note note) {
+		switch (note.kind()) {
+			case PLATFORM_STALE, PARTS_DAMAGED, VERSION_REJECTED, REVISION_CONFLICT, PAUSED ->
+				this.output.add("  note " + note.kind().toString().toLowerCase());
+			default -> {
+				// Expected in every script.
+			}
+		}
+	}
+
+	private String name(long link) {
+		return this.links.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() == link)
+			.map(Map.Entry::getKey)
+			.findFirst()
+			.orElse("?");
+	}
+
+	private static PeerMessage.Status status(String[] words, long nonce) {
+		long revision = Long.parseLong(words[4]);
+		Optional<Version> version = (revision == 0) ? Optional.empty() : Optional.of(document(revision).version());
+		return new PeerMessage.Status(version, Optional.empty(), Long.parseLong(words[5]), 0, false, nonce);
+	}
+
+	private static PeerMessage.Parts parts(long revision, int damage) {
+		Document document = document(revision);
+		return new PeerMessage.Parts(Channel.TEXT, Optional.of(document.version()),
+				document.parts().stream().map((part) -> new PeerMessage.PartName(part.name(), part.digest())).toList(),
+				document.parts().subList(damage, document.parts().size()));
+	}
+
+	private static Document document(long revision) {
+		return TextTool.text(revision, text(revision)).get().document();
+	}
+
+	private static byte[] text(long revision) {
+		return ("{\"mesh\": \"m\", \"failureDomains\": [\"a\"], \"services\": [{\"name\": \"s\", \"slots\": " + revision
+				+ ", \"connections\": 1, \"operations\": [{\"name\": \"r\", \"kind\": \"idempotent\", "
+				+ "\"deadlineMillis\": 9}]}]}")
+			.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static Peer peer(String name, int group) {
+		return new Peer(name, "a", InetSocketAddress.createUnresolved(name, group), 1);
+	}
+
+}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
 
@@ -57,7 +58,12 @@
 
 	private final HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MILLIS, TimeUnit.MILLISECONDS);
 
-	EntryService(NodeContext context, HomeService home, CallClient calls, RandomGenerator random) {
+	/** Told about revisions that callers have seen in force. */
+	private final LongConsumer mentioned;
+
+	EntryService(NodeContext context, HomeService home, CallClient calls, LongConsumer mentioned,
+			RandomGenerator random) {
+		this.mentioned = mentioned;
 		this.context = context;
 		this.home = home;
 		this.calls = calls;
@@ -75,6 +81,7 @@
 		if (this.context.state().waitForConfirmation(() -> handle(request, reply), now)) {
 			return;
 		}
+		this.mentioned.accept(request.knownRevision());
 		Optional<Snapshot> snapshot = this.context.state().snapshot();
 		if (snapshot.isEmpty() || this.context.state().life() == LifeState.STARTING) {
 			reply.accept(refused(Reason.NOT_READY));
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -50,14 +50,16 @@
 				this.context.incarnation());
 		FleetSettings fleet = FleetSettings.of(self, settings.seeds(), settings.distribution())
 			.withPlatformCalls(settings.platformCallsPerSecond())
-			.withPauseMillis(settings.pauseMillis());
+			.withPauseMillis(settings.pauseMillis())
+			.withStartMillis(settings.startMillis());
 		this.control = new ControlLoop(new FleetMember(fleet, random, now), this.context, fleet.tickMillis());
 		TargetClient target = this.closer.register(new TargetClient(settings));
 		this.home = new HomeService(this.context, target, random);
 		CallClient calls = new CallClient(this.context);
-		EntryService entry = this.closer.register(new EntryService(this.context, this.home, calls, random));
+		EntryService entry = this.closer
+			.register(new EntryService(this.context, this.home, calls, this::mention, random));
 		PeerTransport transport = this.closer.register(new PeerTransport(self, PEER_THREADS,
-				new PeerListener(this.context, this.control, calls, this.home), this.context.metrics()));
+				new PeerListener(this.context, this.control, calls, this.home, this::mention), this.context.metrics()));
 		calls.use(transport);
 		transport.listen(settings.peerAddress());
 		PlatformClient platform = this.closer
@@ -103,6 +105,12 @@
 		this.closer.close();
 	}
 
+	private void mention(long revision) {
+		if (revision > this.context.state().revision()) {
+			this.control.post(new FleetEvent.RevisionMentioned(revision));
+		}
+	}
+
 	private boolean isBusy() {
 		return this.context.state().life() != LifeState.LEAVING || this.home.inFlight() > 0;
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/NodeSettings.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeSettings.java
@@ -26,11 +26,13 @@
  * milliseconds
  * @param pauseMillis gap in its own activity from which the node counts as paused, in
  * milliseconds
+ * @param startMillis longest wait for peers before the first text is taken, in
+ * milliseconds
  */
 public record NodeSettings(String vm, String failureDomain, String service, InetSocketAddress peerAddress,
 		InetSocketAddress advertisedAddress, InetSocketAddress callerAddress, InetSocketAddress operatorAddress,
 		InetSocketAddress targetAddress, String platformUrl, List<InetSocketAddress> seeds, Distribution distribution,
-		int platformCallsPerSecond, int recordCapacity, int drainMillis, int pauseMillis) {
+		int platformCallsPerSecond, int recordCapacity, int drainMillis, int pauseMillis, int startMillis) {
 
 	/**
 	 * Returns the local address for connections to other nodes.
--- a/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
+++ b/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.node;
 
+import java.util.function.LongConsumer;
+
 import org.eelgrasspitch.fleet.FleetEvent;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.node.EventLog.Field;
@@ -22,7 +24,11 @@
 
 	private final HomeService home;
 
-	PeerListener(NodeContext context, ControlLoop control, CallClient calls, HomeService home) {
+	/** Told about revisions that other nodes use. */
+	private final LongConsumer mentioned;
+
+	PeerListener(NodeContext context, ControlLoop control, CallClient calls, HomeService home, LongConsumer mentioned) {
+		this.mentioned = mentioned;
 		this.context = context;
 		this.control = control;
 		this.calls = calls;
@@ -63,12 +69,12 @@
 	private void call(PeerConnection connection, CallMessage message) {
 		switch (message) {
 			case CallMessage.Request request -> {
-				mention(request.revision());
+				this.mentioned.accept(request.revision());
 				this.home.handle(request, (outcome) -> reply(connection,
 						new CallMessage.Reply(request.call(), outcome, this.context.state().revision())));
 			}
 			case CallMessage.Reply reply -> {
-				mention(reply.revision());
+				this.mentioned.accept(reply.revision());
 				this.calls.received(connection, reply);
 			}
 			case CallMessage.Tickets tickets -> this.calls.received(connection, tickets);
@@ -81,12 +87,6 @@
 		}
 	}
 
-	private void mention(long revision) {
-		if (revision > this.context.state().revision()) {
-			this.control.post(new FleetEvent.RevisionMentioned(revision));
-		}
-	}
-
 	private static void reply(PeerConnection connection, CallMessage message) {
 		connection.send(new Frame.Call(message));
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -47,6 +47,10 @@
 
 	private static final int DEFAULT_PAUSE_MILLIS = 1_000;
 
+	private static final int MAX_START_MILLIS = 60_000;
+
+	private static final int DEFAULT_START_MILLIS = 1_500;
+
 	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
 
 	private final CollectingProblemListener listener = new CollectingProblemListener();
@@ -97,7 +101,8 @@
 				fields.integer("platformCallsPerSecond", 1, MAX_PLATFORM_CALLS, DEFAULT_PLATFORM_CALLS),
 				fields.integer("recordCapacity", 1, MAX_RECORDS, DEFAULT_RECORDS),
 				fields.integer("drainMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
-				fields.integer("pauseMillis", MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, DEFAULT_PAUSE_MILLIS));
+				fields.integer("pauseMillis", MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, DEFAULT_PAUSE_MILLIS),
+				fields.integer("startMillis", 0, MAX_START_MILLIS, DEFAULT_START_MILLIS));
 		fields.refuseUnknown();
 		return settings;
 	}
