--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
@@ -63,7 +63,7 @@
 
 	@Then("within {int} seconds every node holds the latest revision")
 	public void everyNodeHolds(int seconds) {
-		holds(this.world.cluster().vms(), seconds);
+		holds(this.world.alive(), seconds);
 	}
 
 	@Then("within {int} seconds every node of {word} holds the latest revision")
@@ -105,12 +105,25 @@
 
 	@Then("{int} lookups through every other node than {word} are answered")
 	public void lookups(int count, String dead) {
+		lookUp(this.world.cluster().vms().stream().filter((vm) -> !vm.equals(dead)).toList(), "renewals", count);
+	}
+
+	@Then("{int} lookups of {word} through every node of {word} are answered")
+	public void lookupsOf(int count, String service, String failureDomain) {
+		lookUp(this.world.vmsOf(failureDomain), service, count);
+	}
+
+	@After
+	public void end() {
+		Worlds.end();
+	}
+
+	private void lookUp(List<String> vms, String service, int count) {
 		List<String> failed = new ArrayList<>();
-		for (String vm : this.world.cluster().vms()) {
-			for (int index = 0; index < count && !vm.equals(dead); index++) {
+		for (String vm : vms) {
+			for (int index = 0; index < count; index++) {
 				String id = vm + "-" + index;
-				Optional<CallAnswer> got = this.world.caller()
-					.call(callerPort(vm), CallSpec.of("renewals", "read", id));
+				Optional<CallAnswer> got = this.world.caller().call(callerPort(vm), CallSpec.of(service, "read", id));
 				if (got.filter((response) -> response.status() == 200).isEmpty()) {
 					failed.add(id + ": " + got.map(HttpCaller.CallAnswer::status));
 				}
@@ -119,11 +132,6 @@
 		Assert.assertTrue(failed.isEmpty(), "not answered: " + failed);
 	}
 
-	@After
-	public void end() {
-		Worlds.end();
-	}
-
 	private void awaitServing() {
 		List<String> open = this.world.cluster()
 			.await(this.world.cluster().vms(), START_MILLIS, (status) -> status.state().equals("serving"));
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -2,12 +2,15 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,6 +24,7 @@
 import org.eelgrasspitch.testkit.PlatformStandIn;
 import org.eelgrasspitch.testkit.TargetStandIn;
 import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.TextTool;
 
 /**
  * What the steps of one scenario share: a cluster of real node processes, with platform
@@ -43,6 +47,15 @@
 
 	private final Map<String, Map<String, Integer>> executions = new TreeMap<>();
 
+	/** Every published text by its revision. */
+	private final Map<Long, byte[]> texts = new HashMap<>();
+
+	/** Names of VMs whose node was killed for good. */
+	private final Set<String> gone = new HashSet<>();
+
+	/** Revision of the latest bad text; 0 before the first. */
+	private long badRevision;
+
 	private DeploymentWriter writer;
 
 	private Cluster cluster;
@@ -82,7 +95,7 @@
 		this.links = this.closer.register(new LinkSwitch(deployment));
 		deployment.members().forEach((member) -> startTarget(member.settings().vm()));
 		this.platform.publish(Channel.VMS, deployment.vms());
-		this.latest = this.platform.publish(Channel.TEXT, deployment.text());
+		this.latest = publish(deployment.text());
 		this.cluster.startNodes();
 	}
 
@@ -102,12 +115,69 @@
 
 	long publishChange() {
 		this.slots++;
-		this.latest = this.platform.publish(Channel.TEXT, this.writer.text(this.slots, 0, 0));
+		this.latest = publish(this.writer.text(this.slots, 0, 0));
 		return this.latest;
 	}
 
-	long publishBad(byte[] text) {
-		return this.platform.publish(Channel.TEXT, text);
+	void publishBad(byte[] text) {
+		this.badRevision = publish(text);
+	}
+
+	long badRevision() {
+		return this.badRevision;
+	}
+
+	byte[] textOf(long revision) {
+		return this.texts.get(revision);
+	}
+
+	void gone(String vm) {
+		this.gone.add(vm);
+	}
+
+	/**
+	 * Returns the names of the VMs whose node was not killed for good.
+	 */
+	List<String> alive() {
+		return this.cluster.vms().stream().filter((vm) -> !this.gone.contains(vm)).toList();
+	}
+
+	/**
+	 * Returns the latest text with a fault in it.
+	 */
+	byte[] broken(String fault) {
+		String text = new String(textOf(this.latest), StandardCharsets.UTF_8);
+		String changed = switch (fault) {
+			case "has a dangling dependency" -> text.replaceFirst("\"slots\"", "\"dependsOn\": [\"gone\"], \"slots\"");
+			case "has a cycle" -> text.replaceFirst("\"slots\"", "\"dependsOn\": [\"archive\"], \"slots\"")
+				.replaceFirst("(\"archive\",) \"slots\"", "$1 \"dependsOn\": [\"renewals\"], \"slots\"");
+			case "is truncated" -> text.substring(0, text.length() / 2);
+			case "is empty" -> "";
+			case "is too large" -> text + " ".repeat(TextTool.MAX_DOCUMENT_BYTES);
+			case "is over a limit" -> text.replaceFirst("\"slots\": \\d+", "\"slots\": 99999");
+			default -> throw new IllegalArgumentException(fault);
+		};
+		return changed.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Cuts one direction between a failure domain and all others.
+	 */
+	void cut(String failureDomain, boolean outbound) {
+		List<String> inside = vmsOf(failureDomain);
+		for (String vm : this.cluster.vms()) {
+			for (String member : inside) {
+				if (!inside.contains(vm)) {
+					this.links.cut(outbound ? member : vm, outbound ? vm : member);
+				}
+			}
+		}
+	}
+
+	private long publish(byte[] text) {
+		long revision = this.platform.publish(Channel.TEXT, text);
+		this.texts.put(revision, text);
+		return revision;
 	}
 
 	DeploymentWriter writer() {
