Add the measurement of configuration changes

Cause: convergence, bytes, calls and processor time were not measured. Change: measure runs 12 and more real nodes with parts, whole documents or polling.

--- a/cli/src/main/java/org/eelgrasspitch/cli/Main.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Main.java
@@ -57,6 +57,7 @@
 		commands.put("check", new CheckCommand());
 		commands.put("node", new NodeCommand());
 		commands.put("demo", new DemoCommand());
+		commands.put("measure", new MeasureCommand());
 		commands.put("self-check", new SelfCheckCommand());
 		commands.put("platform-stand-in", new PlatformStandInCommand());
 		commands.put("target-stand-in", new TargetStandInCommand());
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -0,0 +1,79 @@
+package org.eelgrasspitch.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.testkit.ConfigMeasurement;
+import org.eelgrasspitch.testkit.Json;
+
+/**
+ * Measures on this machine.
+ */
+final class MeasureCommand implements Command {
+
+	private static final int FIRST_OCTET = 202;
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("measure").help("measure how changes reach all nodes, and the cost");
+		parser.description("Runs real node processes on loopback addresses. Prints a table, or JSON lines with --json. "
+				+ "Example: eelgrasspitch measure --nodes 12 24 --distribution parts whole poll");
+		parser.addArgument("--nodes")
+			.type(Integer.class)
+			.nargs("+")
+			.setDefault(List.of(12, 24))
+			.help("numbers of nodes");
+		parser.addArgument("--distribution")
+			.nargs("+")
+			.choices("parts", "whole", "poll")
+			.setDefault(List.of("parts"))
+			.help("parts that changed, whole documents, or every node polling the platform");
+		parser.addArgument("--failure-domains").type(Integer.class).setDefault(3).help("number of failure domains");
+		parser.addArgument("--services").type(Integer.class).setDefault(26).help("number of services");
+		parser.addArgument("--operations").type(Integer.class).setDefault(60).help("further operations of a service");
+		parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON lines");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		boolean json = arguments.getBoolean("json");
+		List<ConfigMeasurement.Result> results = new ArrayList<>();
+		int octet = FIRST_OCTET;
+		for (Integer nodes : arguments.<Integer>getList("nodes")) {
+			for (String distribution : arguments.<String>getList("distribution")) {
+				ConfigMeasurement.Plan plan = new ConfigMeasurement.Plan(nodes, arguments.getInt("failure_domains"),
+						arguments.getInt("services"), arguments.getInt("operations"), 40,
+						Distribution.valueOf(distribution.toUpperCase(java.util.Locale.ROOT)), octet++);
+				ConfigMeasurement.Result result = ConfigMeasurement.run(plan, directory(), System.err);
+				results.add(result);
+				if (json) {
+					System.out.println(Json.write(result));
+				}
+			}
+		}
+		if (!json) {
+			System.out.println(ConfigMeasurement.Result.heading());
+			results.forEach((result) -> System.out.println(result.row()));
+		}
+		return ExitCode.OK;
+	}
+
+	private static Path directory() {
+		try {
+			return Files.createTempDirectory("eelgrasspitch-measure");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/DeploymentWriter.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/DeploymentWriter.java
@@ -25,6 +25,9 @@
 public record DeploymentWriter(int octet, List<String> failureDomains, List<String> services, int nodes,
 		boolean relayed, String extraSettings) {
 
+	/** Slots of every service but the first. */
+	public static final int DEFAULT_SLOTS = 10;
+
 	private static final int MAX_SEEDS = 3;
 
 	/**
@@ -66,7 +69,7 @@
 	/**
 	 * Writes a text that gives every service one idempotent and one at-most-once
 	 * operation.
-	 * @param slots slots of every service
+	 * @param slots slots of the first service; the others have {@link #DEFAULT_SLOTS}
 	 * @param padding length of each of {@code operations} further operation names
 	 * @param operations number of further operations of each service
 	 * @return the text
@@ -83,7 +86,8 @@
 					{"name": "%s", "slots": %d, "connections": 100, "operations": [
 					 {"name": "read", "kind": "idempotent", "deadlineMillis": 3000},
 					 {"name": "pay", "kind": "at-most-once", "priority": "transaction", "deadlineMillis": 5000,
-					  "lateAfterMillis": 1000}%s]}""".formatted(service, slots, extra));
+					  "lateAfterMillis": 1000}%s]}""".formatted(service, lines.isEmpty() ? slots : DEFAULT_SLOTS,
+					extra));
 		}
 		return "{\"mesh\": \"test\", \"failureDomains\": %s, \"services\": [\n%s\n]}\n"
 			.formatted(Json.write(this.failureDomains), String.join(",\n", lines))
