Quarantine requests that crash targets; limit, cancel and drain at the home

Cause: nothing stopped a request that crashes every target; refusals for a leaving target were retried without budget; work nobody waits for went on. Change: deaths are told to all nodes of the service before the entry node hears of them; a second death quarantines. Every retry takes from the budget. The limit of work at a target adapts below its slots. Cancel reaches queue and target. A leaving node also waits for its own callers. Operators compare texts by diff with a base digest; status and wait ask nodes.

--- a/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
@@ -31,8 +31,10 @@
 	public int run(Namespace arguments) {
 		Path file = Path.of(arguments.getString("file"));
 		CollectingProblemListener listener = new CollectingProblemListener();
+		byte[] content;
 		try {
-			TextTool.parse(Files.readAllBytes(file), listener);
+			content = Files.readAllBytes(file);
+			TextTool.parse(content, listener);
 		}
 		catch (IOException ex) {
 			System.err.println("cannot read " + file + ": " + ex);
@@ -45,11 +47,15 @@
 			return ExitCode.FAILED;
 		}
 		if (!arguments.getBoolean("json")) {
-			System.out.println(file + ": acceptable");
+			System.out.println(file + ": acceptable, digest " + digest(content));
 		}
 		return ExitCode.OK;
 	}
 
+	private static String digest(byte[] content) {
+		return TextTool.text(1, content).map((checked) -> checked.version().digest().hex()).getOrElse("");
+	}
+
 	/**
 	 * A problem as programs read it.
 	 *
--- a/cli/src/main/java/org/eelgrasspitch/cli/ExitCode.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/ExitCode.java
@@ -17,6 +17,9 @@
 	/** Something needed could not be reached or read. */
 	static final int UNAVAILABLE = 3;
 
+	/** The new text was not written against the text in force. */
+	static final int RACE = 4;
+
 	private ExitCode() {
 	}
 
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Fleet.java
@@ -0,0 +1,71 @@
+package org.eelgrasspitch.cli;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.node.StatusReport;
+import org.eelgrasspitch.testkit.Deployment;
+import org.eelgrasspitch.testkit.HttpCaller;
+import org.eelgrasspitch.testkit.Json;
+
+/**
+ * The nodes that a command asks, by their operators' ports.
+ */
+final class Fleet implements AutoCloseable {
+
+	private static final long TIMEOUT_MILLIS = 2_000;
+
+	private static final int OK = 200;
+
+	private final HttpCaller caller = new HttpCaller(TIMEOUT_MILLIS);
+
+	private final List<InetSocketAddress> addresses;
+
+	private Fleet(List<InetSocketAddress> addresses) {
+		this.addresses = addresses;
+	}
+
+	static void addArguments(Subparser parser) {
+		parser.addArgument("--operators").nargs("+").setDefault(List.of()).help("operators' ports to ask, IP:port");
+		parser.addArgument("--deployment").help("directory of a deployment, to ask all its nodes");
+	}
+
+	/**
+	 * Reads which nodes to ask.
+	 * @param arguments the parsed arguments
+	 * @return the nodes; none when an address is malformed or nothing was named
+	 */
+	static Fleet of(Namespace arguments) {
+		List<InetSocketAddress> addresses = new ArrayList<>();
+		arguments.<String>getList("operators").forEach((written) -> Addresses.parse(written).ifPresent(addresses::add));
+		String deployment = arguments.getString("deployment");
+		if (deployment != null) {
+			Deployment.read(Path.of(deployment))
+				.members()
+				.forEach((member) -> addresses.add(member.settings().operatorAddress()));
+		}
+		return new Fleet(addresses);
+	}
+
+	List<InetSocketAddress> addresses() {
+		return this.addresses;
+	}
+
+	Optional<StatusReport> status(InetSocketAddress address) {
+		return this.caller.get(address, "/status")
+			.filter((answer) -> answer.status() == OK)
+			.map((answer) -> Json.read(answer.body(), StatusReport.class));
+	}
+
+	@Override
+	public void close() {
+		this.caller.close();
+	}
+
+}
--- a/cli/src/main/java/org/eelgrasspitch/cli/Main.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Main.java
@@ -55,6 +55,9 @@
 	private static Map<String, Command> commands() {
 		Map<String, Command> commands = new LinkedHashMap<>();
 		commands.put("check", new CheckCommand());
+		commands.put("diff", new DiffCommand());
+		commands.put("status", new StatusCommand());
+		commands.put("wait", new WaitCommand());
 		commands.put("node", new NodeCommand());
 		commands.put("demo", new DemoCommand());
 		commands.put("measure", new MeasureCommand());
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -13,6 +13,7 @@
 import org.eelgrasspitch.text.Checked;
 import org.eelgrasspitch.text.Document;
 import org.eelgrasspitch.text.Snapshot;
+import org.eelgrasspitch.text.Version;
 import org.eelgrasspitch.text.VmList;
 
 /**
@@ -233,7 +234,9 @@
 	}
 
 	private void offerText(FleetEvent.PlatformServed served, long now) {
+		Optional<Version> former = text().held().map(Checked::version);
 		decided(Channel.TEXT, served.revision(), this.holdings.offer(served));
+		this.holdings.baseMismatch(former).ifPresent((detail) -> note(NoteKind.BASE_MISMATCH, detail));
 		platformEvidence(served.revision(), now);
 	}
 
--- a/core/src/main/java/org/eelgrasspitch/fleet/Holdings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Holdings.java
@@ -16,6 +16,7 @@
 import org.eelgrasspitch.text.Part;
 import org.eelgrasspitch.text.Snapshot;
 import org.eelgrasspitch.text.TextTool;
+import org.eelgrasspitch.text.Version;
 import org.eelgrasspitch.text.VmList;
 
 /**
@@ -99,6 +100,27 @@
 				missing);
 	}
 
+	/**
+	 * Compares the base of the text held with the one held before. Only a node that read
+	 * both from the platform can tell; acceptance does not depend on it, so that all
+	 * nodes decide alike.
+	 * @param former version held before; empty when none
+	 * @return what to report; empty when the text names no base or the right one
+	 */
+	Optional<String> baseMismatch(Optional<Version> former) {
+		Optional<Checked<Snapshot>> held = this.text.held();
+		if (former.isEmpty() || held.isEmpty() || held.get().version().equals(former.get())) {
+			return Optional.empty();
+		}
+		return held.get()
+			.value()
+			.text()
+			.base()
+			.filter((base) -> !base.equals(former.get().digest()))
+			.map((base) -> held.get().version() + " was written against " + base.abbreviated() + ", not "
+					+ former.get());
+	}
+
 	private List<Part> parts(Channel channel) {
 		return keeper(channel).held().map(Checked::document).map(Document::parts).orElse(List.of());
 	}
--- a/core/src/main/java/org/eelgrasspitch/fleet/NoteKind.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/NoteKind.java
@@ -27,6 +27,9 @@
 	/** A caller or node uses a later version than the one held. */
 	REVISION_MENTIONED,
 
+	/** A text was not written against the one that it replaced. */
+	BASE_MISMATCH,
+
 	/** The process was paused. */
 	PAUSED,
 
--- a/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
@@ -78,6 +78,15 @@
 		return new Release<>(Optional.empty(), expired);
 	}
 
+	/**
+	 * Takes work that waits out of the queue.
+	 * @param work the work
+	 * @return true when it waited; false when it runs, ended or was never queued
+	 */
+	public boolean remove(T work) {
+		return this.waiting.removeIf((entry) -> entry.work() == work);
+	}
+
 	/**
 	 * Returns the number of running entries.
 	 * @return the number
--- a/core/src/main/java/org/eelgrasspitch/request/CallMessage.java
+++ b/core/src/main/java/org/eelgrasspitch/request/CallMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.text.RouteKey;
 
 /**
@@ -25,12 +26,14 @@
 	 * @param route the operation asked for
 	 * @param remainingMillis time left until the deadline, in milliseconds
 	 * @param ticket the ticket of an at-most-once request; empty for others
+	 * @param fingerprint recognises the request when it is sent again; empty when nothing
+	 * in it can
 	 * @param headers headers for the target
 	 * @param body the body; not modified after construction
 	 * @param revision revision of the text that the sender used
 	 */
 	record Request(long call, String requestId, RouteKey route, int remainingMillis, Optional<Ticket> ticket,
-			List<Header> headers, byte[] body, long revision) implements CallMessage {
+			Optional<Digest> fingerprint, List<Header> headers, byte[] body, long revision) implements CallMessage {
 
 	}
 
@@ -86,4 +89,24 @@
 
 	}
 
+	/**
+	 * Reports that a target died while it ran a request.
+	 *
+	 * @param call number of the call
+	 * @param fingerprint the request's fingerprint
+	 * @param target name of the target's VM
+	 */
+	record DeathNotice(long call, Digest fingerprint, String target) implements CallMessage {
+
+	}
+
+	/**
+	 * Acknowledges a {@link DeathNotice}.
+	 *
+	 * @param call number of the call
+	 */
+	record Noted(long call) implements CallMessage {
+
+	}
+
 }
--- a/core/src/main/java/org/eelgrasspitch/request/RetryPolicy.java
+++ b/core/src/main/java/org/eelgrasspitch/request/RetryPolicy.java
@@ -1,26 +1,22 @@
 package org.eelgrasspitch.request;
 
-import java.util.EnumSet;
-import java.util.Set;
-
 import org.eelgrasspitch.text.OperationKind;
 
 /**
  * Decides whether a request that was not answered is sent to another target.
  * <p>
  * An at-most-once request never is: only the home of its ticket may run it. An idempotent
- * one may be, up to {@link #MAX_ATTEMPTS} attempts. Refusals that cost the refuser
- * nothing, because it is leaving or not there, need no budget; everything else takes one
- * retry from the {@link RetryBudget}.
+ * one may be, up to {@link #MAX_ATTEMPTS} attempts, and each attempt after the first
+ * takes one retry from the {@link RetryBudget}, whatever the reason. A request that
+ * crashes targets is not tried again. An answer of the target, whatever its status, is
+ * passed on: only the hop next to a failure retries, so retries do not multiply along a
+ * chain.
  */
 public final class RetryPolicy {
 
 	/** Most attempts for one request, the first included. */
 	public static final int MAX_ATTEMPTS = 3;
 
-	private static final Set<Reason> FREE = EnumSet.of(Reason.LEAVING, Reason.HOME_UNREACHABLE,
-			Reason.TARGET_UNREACHABLE, Reason.NOT_READY, Reason.NO_ROUTE);
-
 	private RetryPolicy() {
 	}
 
@@ -39,8 +35,8 @@
 		return switch (outcome) {
 			case CallOutcome.Answered answered -> false;
 			case CallOutcome.Late late -> false;
-			case CallOutcome.NotRun notRun -> FREE.contains(notRun.reason()) || budget.tryTake();
-			case CallOutcome.Unknown unknown -> budget.tryTake();
+			case CallOutcome.NotRun notRun -> notRun.reason() != Reason.QUARANTINED && budget.tryTake();
+			case CallOutcome.Unknown unknown -> unknown.reason() != Reason.QUARANTINED && budget.tryTake();
 		};
 	}
 
--- a/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
@@ -113,8 +113,8 @@
 		this.attempt = ended;
 		this.pending = this.entry.send(vm, address,
 				(call) -> new CallMessage.Request(call, this.request.requestId(), this.request.route(), remaining,
-						this.request.ticket().filter((ticket) -> isAtMostOnce()), this.request.headers(),
-						this.request.body(), this.snapshot.version().revision()),
+						this.request.ticket().filter((ticket) -> isAtMostOnce()), this.request.fingerprint(),
+						this.request.headers(), this.request.body(), this.snapshot.version().revision()),
 				new Attempt(ended));
 	}
 
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
@@ -33,7 +34,7 @@
  * Takes callers' requests, chooses targets and sees each request to its end. The work for
  * one request is in {@link EntryCall}.
  */
-final class EntryService implements AutoCloseable {
+final class EntryService {
 
 	private static final int NOT_FOUND = 404;
 
@@ -43,8 +44,6 @@
 
 	private static final long TICKET_TIMEOUT_MILLIS = 1_000;
 
-	private static final long TIMER_TICK_MILLIS = 10;
-
 	private final NodeContext context;
 
 	private final HomeService home;
@@ -56,13 +55,17 @@
 
 	private final RetryBudget budget = new RetryBudget();
 
-	private final HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MILLIS, TimeUnit.MILLISECONDS);
+	private final HashedWheelTimer timer;
+
+	/** Requests of callers that are not ended. */
+	private final AtomicInteger active = new AtomicInteger();
 
 	/** Told about revisions that callers have seen in force. */
 	private final LongConsumer mentioned;
 
-	EntryService(NodeContext context, HomeService home, CallClient calls, LongConsumer mentioned,
-			RandomGenerator random) {
+	EntryService(NodeContext context, HomeService home, CallClient calls, HashedWheelTimer timer,
+			LongConsumer mentioned, RandomGenerator random) {
+		this.timer = timer;
 		this.mentioned = mentioned;
 		this.context = context;
 		this.home = home;
@@ -100,7 +103,11 @@
 			reply.accept(wrong(PRECONDITION_REQUIRED, ErrorType.TICKET_REQUIRED, request.route()));
 			return;
 		}
-		new EntryCall(this, snapshot.get(), route.get(), request, reply).start();
+		this.active.incrementAndGet();
+		new EntryCall(this, snapshot.get(), route.get(), request, (ended) -> {
+			reply.accept(ended);
+			this.active.decrementAndGet();
+		}).start();
 	}
 
 	/**
@@ -179,8 +186,11 @@
 			return this.calls.call(address, message, callback);
 		}
 		switch (message.apply(0)) {
-			case CallMessage.Request request -> this.home.handle(request,
-					(outcome) -> callback.replied(new CallMessage.Reply(0, outcome, this.context.state().revision())));
+			case CallMessage.Request request -> {
+				Runnable cancel = this.home.handle(request, (outcome) -> callback
+					.replied(new CallMessage.Reply(0, outcome, this.context.state().revision())));
+				return cancel::run;
+			}
 			case CallMessage.TicketQuery query -> callback.replied(this.home.tickets(query));
 			case CallMessage.OutcomeQuery query -> callback
 				.replied(new CallMessage.Reply(0, this.home.outcome(query.ticket()), this.context.state().revision()));
@@ -190,9 +200,12 @@
 		};
 	}
 
-	@Override
-	public void close() {
-		this.timer.stop();
+	/**
+	 * Returns the number of callers' requests that are not ended.
+	 * @return the number
+	 */
+	int active() {
+		return this.active.get();
 	}
 
 	private void use(VmList list) {
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -1,21 +1,19 @@
 package org.eelgrasspitch.node;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import okhttp3.Call;
 import org.eelgrasspitch.fleet.LifeState;
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.request.AdmissionQueue;
 import org.eelgrasspitch.request.CallMessage;
 import org.eelgrasspitch.request.CallOutcome;
-import org.eelgrasspitch.request.Claim;
+import org.eelgrasspitch.request.ConcurrencyLimit;
+import org.eelgrasspitch.request.Quarantine;
 import org.eelgrasspitch.request.Reason;
-import org.eelgrasspitch.request.RecordTable;
 import org.eelgrasspitch.request.Ticket;
 import org.eelgrasspitch.text.OperationKind;
 import org.eelgrasspitch.text.Route;
@@ -23,9 +21,10 @@
 import org.eelgrasspitch.text.Snapshot;
 
 /**
- * Runs requests on this VM's target: claims at-most-once requests in the
- * {@link RecordTable}, admits work through the {@link AdmissionQueue}, checks the
- * deadline again right before the request is sent, and records how it ended.
+ * Runs requests on this VM's target. A request passes, in this order: the check that this
+ * node holds its route, the quarantine, for at-most-once requests the
+ * {@link RecordKeeper}, the {@link AdmissionQueue}, and once more the deadline right
+ * before it is sent. How it ended is recorded before anybody is told.
  */
 final class HomeService {
 
@@ -33,61 +32,66 @@
 
 	private static final int QUEUE_PER_SLOT = 2;
 
-	private static final int MAX_TICKETS = 100;
-
 	private final NodeContext context;
 
 	private final TargetClient target;
 
-	/** Records of at-most-once requests; guarded by this object's lock. */
-	private final RecordTable records;
+	private final DeathReporter deaths;
 
-	/**
-	 * Attempts that wait for a running request's outcome; guarded by this object's lock.
-	 */
-	private final Map<Ticket, List<Consumer<CallOutcome>>> followers = new HashMap<>();
+	private final RecordKeeper records;
 
 	/** Work admitted to the target; guarded by this object's lock. */
 	private final AdmissionQueue<Work> queue = new AdmissionQueue<>();
 
+	/** Limit of work in progress; guarded by this object's lock. */
+	private final ConcurrencyLimit limit = new ConcurrencyLimit();
+
+	/** Requests that crash targets; guarded by its own lock. */
+	private final Quarantine quarantine = new Quarantine();
+
 	/** True while the target itself says that it is draining. */
 	private volatile boolean targetLeaving;
 
-	HomeService(NodeContext context, TargetClient target, RandomGenerator random) {
+	HomeService(NodeContext context, TargetClient target, DeathReporter deaths, RandomGenerator random) {
 		this.context = context;
 		this.target = target;
-		NodeSettings settings = context.settings();
-		this.records = new RecordTable(settings.vm(), settings.advertisedAddress(), context.incarnation(),
-				settings.recordCapacity(), random);
+		this.deaths = deaths;
+		this.records = new RecordKeeper(context, random);
 	}
 
 	/**
 	 * Runs a request, or says why not.
 	 * @param request the request
 	 * @param reply receives the outcome exactly once
+	 * @return gives the request up when nobody waits for it any more; an at-most-once
+	 * request goes on all the same
 	 */
-	void handle(CallMessage.Request request, Consumer<CallOutcome> reply) {
+	Runnable handle(CallMessage.Request request, Consumer<CallOutcome> reply) {
 		Optional<Snapshot> snapshot = this.context.state().snapshot();
 		if (snapshot.isEmpty()) {
-			reply.accept(refused(Reason.NOT_READY));
-			return;
+			return refuse(reply, Reason.NOT_READY);
 		}
 		Optional<Route> route = snapshot.get().route(request.route());
 		if (route.isEmpty() || !request.route().service().equals(this.context.settings().service())) {
-			reply.accept(refused(Reason.NO_ROUTE));
-			return;
+			return refuse(reply, Reason.NO_ROUTE);
 		}
-		long deadlineAt = this.context.time().monotonicMillis() + request.remainingMillis();
-		Work work = new Work(request, route.get(), deadlineAt, reply);
-		if (route.get().operation().kind() == OperationKind.AT_MOST_ONCE) {
-			claim(work);
-			return;
+		if (isQuarantined(request)) {
+			reply.accept(new CallOutcome.Unknown(Reason.QUARANTINED));
+			return () -> {
+			};
 		}
-		if (isLeaving()) {
-			reply.accept(refused(Reason.LEAVING));
-			return;
+		Work work = new Work(request, route.get(), now() + request.remainingMillis(), reply);
+		boolean atMostOnce = route.get().operation().kind() == OperationKind.AT_MOST_ONCE;
+		if (atMostOnce && !this.records.claim(request, reply)) {
+			return () -> {
+			};
 		}
-		admit(work);
+		start(work);
+		return () -> {
+			if (!atMostOnce) {
+				cancel(work);
+			}
+		};
 	}
 
 	/**
@@ -102,11 +106,7 @@
 		if (!query.route().service().equals(this.context.settings().service())) {
 			return new CallMessage.Tickets(query.call(), List.of(), Optional.of(Reason.NO_ROUTE));
 		}
-		int count = Math.max(1, Math.min(query.count(), MAX_TICKETS));
-		synchronized (this) {
-			return new CallMessage.Tickets(query.call(), this.records.issue(count, this.context.uptimeMillis()),
-					Optional.empty());
-		}
+		return new CallMessage.Tickets(query.call(), this.records.issue(query.count()), Optional.empty());
 	}
 
 	/**
@@ -114,8 +114,18 @@
 	 * @param ticket its ticket
 	 * @return the outcome, or {@link CallOutcome.Late} while it runs
 	 */
-	synchronized CallOutcome outcome(Ticket ticket) {
-		return this.records.outcome(ticket, this.context.uptimeMillis());
+	CallOutcome outcome(Ticket ticket) {
+		return this.records.outcome(ticket);
+	}
+
+	/**
+	 * Takes note that another node's target died while it ran a request.
+	 * @param notice the report
+	 */
+	void noteDeath(CallMessage.DeathNotice notice) {
+		synchronized (this.quarantine) {
+			this.quarantine.died(notice.fingerprint(), notice.target(), now());
+		}
 	}
 
 	/**
@@ -126,10 +136,16 @@
 		return this.queue.running() + this.queue.waiting();
 	}
 
-	synchronized int recordCount() {
+	int recordCount() {
 		return this.records.size();
 	}
 
+	int quarantineCount() {
+		synchronized (this.quarantine) {
+			return this.quarantine.count(now());
+		}
+	}
+
 	void targetLeaving(boolean leaving) {
 		this.targetLeaving = leaving;
 	}
@@ -139,27 +155,9 @@
 		return this.targetLeaving || life == LifeState.LEAVING || life == LifeState.STOPPED;
 	}
 
-	private void claim(Work work) {
-		CallMessage.Request request = work.request();
-		if (request.ticket().isEmpty()) {
-			work.reply().accept(refused(Reason.TICKET_MISUSED));
-			return;
-		}
-		Ticket ticket = request.ticket().get();
-		Claim claim;
-		synchronized (this) {
-			claim = this.records.claim(ticket, content(request), this.context.uptimeMillis());
-			if (claim instanceof Claim.Running) {
-				this.followers.computeIfAbsent(ticket, (key) -> new ArrayList<>()).add(work.reply());
-			}
-		}
-		switch (claim) {
-			case Claim.Start start -> start(work);
-			case Claim.Running running -> {
-				// The attempt that runs answers this one as well.
-			}
-			case Claim.Finished finished -> work.reply().accept(finished.outcome());
-			case Claim.Refused refusal -> work.reply().accept(refusal.outcome());
+	private boolean isQuarantined(CallMessage.Request request) {
+		synchronized (this.quarantine) {
+			return request.fingerprint().filter((known) -> this.quarantine.isQuarantined(known, now())).isPresent();
 		}
 	}
 
@@ -168,15 +166,11 @@
 			end(work, refused(Reason.LEAVING));
 			return;
 		}
-		admit(work);
-	}
-
-	private void admit(Work work) {
-		Service service = work.route().service();
+		Service service = work.route.service();
 		AdmissionQueue.Admission<Work> admission;
 		synchronized (this) {
-			admission = this.queue.offer(work, work.route().operation().priority(), work.deadlineAt(), service.slots(),
-					QUEUE_PER_SLOT * service.slots());
+			admission = this.queue.offer(work, work.route.operation().priority(), work.deadlineAt,
+					this.limit.limit(service.slots()), QUEUE_PER_SLOT * service.slots());
 		}
 		switch (admission) {
 			case AdmissionQueue.Admission.Started<Work> started -> dispatch(work);
@@ -193,49 +187,75 @@
 	 * may have been paused since the work was admitted.
 	 */
 	private void dispatch(Work work) {
-		long remaining = work.deadlineAt() - this.context.time().monotonicMillis();
+		long remaining = work.deadlineAt - now();
 		if (remaining <= 0) {
-			end(work, refused(Reason.DEADLINE_PASSED));
 			release();
+			end(work, refused(Reason.DEADLINE_PASSED));
 			return;
 		}
-		this.target.send(work.request(), remaining, (outcome) -> {
+		work.call = this.target.send(work.request, remaining, (outcome) -> answered(work, outcome));
+	}
+
+	private void answered(Work work, CallOutcome outcome) {
+		adjustLimit(outcome);
+		release();
+		boolean mayBeDead = outcome instanceof CallOutcome.Unknown unknown && unknown.reason() == Reason.ANSWER_LOST;
+		if (!mayBeDead || work.request.fingerprint().isEmpty()) {
 			end(work, outcome);
-			release();
-		});
+			return;
+		}
+		this.target.ifDead(() -> died(work, outcome), () -> end(work, outcome));
+	}
+
+	private void died(Work work, CallOutcome outcome) {
+		Digest fingerprint = work.request.fingerprint().get();
+		noteDeath(new CallMessage.DeathNotice(0, fingerprint, this.context.settings().vm()));
+		this.deaths.report(work.request.route().service(), fingerprint,
+				() -> end(work, isQuarantined(work.request) ? new CallOutcome.Unknown(Reason.QUARANTINED) : outcome));
+	}
+
+	private synchronized void adjustLimit(CallOutcome outcome) {
+		if (outcome instanceof CallOutcome.Answered) {
+			this.limit.answered(this.queue.running());
+		}
+		else if (outcome instanceof CallOutcome.NotRun notRun && notRun.reason() == Reason.TARGET_REFUSED) {
+			this.limit.shed();
+		}
 	}
 
 	private void release() {
 		AdmissionQueue.Release<Work> release;
 		synchronized (this) {
-			release = this.queue.release(this.context.time().monotonicMillis());
+			release = this.queue.release(now());
 		}
 		release.expired().forEach((expired) -> end(expired, refused(Reason.DEADLINE_PASSED)));
 		release.next().ifPresent(this::dispatch);
 	}
 
-	private void end(Work work, CallOutcome outcome) {
-		List<Consumer<CallOutcome>> waiting = List.of();
-		Optional<Ticket> ticket = work.request().ticket();
-		if (ticket.isPresent()) {
-			synchronized (this) {
-				if (outcome instanceof CallOutcome.NotRun) {
-					this.records.release(ticket.get());
-				}
-				else {
-					this.records.finish(ticket.get(), outcome);
-				}
-				List<Consumer<CallOutcome>> removed = this.followers.remove(ticket.get());
-				waiting = (removed != null) ? removed : List.of();
-			}
+	private void cancel(Work work) {
+		boolean waited;
+		synchronized (this) {
+			waited = this.queue.remove(work);
 		}
-		work.reply().accept(outcome);
-		waiting.forEach((reply) -> reply.accept(outcome));
+		Call call = work.call;
+		if (!waited && call != null) {
+			call.cancel();
+		}
+	}
+
+	private void end(Work work, CallOutcome outcome) {
+		work.request.ticket().ifPresent((ticket) -> this.records.end(ticket, outcome));
+		work.reply.accept(outcome);
 	}
 
-	private static Digest content(CallMessage.Request request) {
-		return Digest
-			.of((request.route() + "\n" + Digest.of(request.body())).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+	private Runnable refuse(Consumer<CallOutcome> reply, Reason reason) {
+		reply.accept(refused(reason));
+		return () -> {
+		};
+	}
+
+	private long now() {
+		return this.context.time().monotonicMillis();
 	}
 
 	private static CallOutcome refused(Reason reason) {
@@ -244,13 +264,27 @@
 
 	/**
 	 * A request on its way to the target.
-	 *
-	 * @param request the request
-	 * @param route its operation
-	 * @param deadlineAt when its caller stops waiting, in monotonic milliseconds
-	 * @param reply receives the outcome
 	 */
-	private record Work(CallMessage.Request request, Route route, long deadlineAt, Consumer<CallOutcome> reply) {
+	private static final class Work {
+
+		private final CallMessage.Request request;
+
+		private final Route route;
+
+		/** When its caller stops waiting, in monotonic milliseconds. */
+		private final long deadlineAt;
+
+		private final Consumer<CallOutcome> reply;
+
+		/** The call to the target; null until dispatched. */
+		private volatile Call call;
+
+		Work(CallMessage.Request request, Route route, long deadlineAt, Consumer<CallOutcome> reply) {
+			this.request = request;
+			this.route = route;
+			this.deadlineAt = deadlineAt;
+			this.reply = reply;
+		}
 
 	}
 
--- a/node/src/main/java/org/eelgrasspitch/node/HttpRequests.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HttpRequests.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.node;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -10,6 +11,7 @@
 
 import io.jooby.Context;
 import io.vavr.control.Either;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.misc.ErrorType;
 import org.eelgrasspitch.misc.Position;
 import org.eelgrasspitch.misc.Problem;
@@ -76,9 +78,22 @@
 				return Either.left(parsed.getLeft());
 			}
 		}
+		byte[] body = context.body().bytes();
 		return Either.right(new CallerRequest(id, route, timeout.get().map(Long::intValue), ticket,
-				attempt.get().map((number) -> number == 1).orElse(false), version.get().orElse(0L), passedOn(context),
-				context.body().bytes()));
+				attempt.get().map((number) -> number == 1).orElse(false), fingerprint(route, header(context, ID), body),
+				version.get().orElse(0L), passedOn(context), body));
+	}
+
+	/**
+	 * Recognises a request by the caller's own identifier, or else by its body. A request
+	 * with neither looks like any other of its operation, so it gets no fingerprint.
+	 */
+	private static Optional<Digest> fingerprint(RouteKey route, Optional<String> id, byte[] body) {
+		if (id.isEmpty() && body.length == 0) {
+			return Optional.empty();
+		}
+		String text = route + "\n" + id.orElseGet(() -> Digest.of(body).hex());
+		return Optional.of(Digest.of(text.getBytes(StandardCharsets.UTF_8)));
 	}
 
 	private static List<Header> passedOn(Context context) {
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -8,6 +8,7 @@
 import io.jooby.Jooby;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
+import io.netty.util.HashedWheelTimer;
 import org.eelgrasspitch.fleet.FleetEvent;
 import org.eelgrasspitch.fleet.FleetMember;
 import org.eelgrasspitch.fleet.FleetSettings;
@@ -31,6 +32,8 @@
 
 	private static final long PROBE_MILLIS = 1_000;
 
+	private static final long TIMER_TICK_MILLIS = 10;
+
 	private static final long DRAIN_POLL_MILLIS = 20;
 
 	private final Closer closer = new Closer();
@@ -39,6 +42,8 @@
 
 	private final HomeService home;
 
+	private final EntryService entry;
+
 	private final ControlLoop control;
 
 	private Node(NodeSettings settings, TimeSource time, RandomGenerator random) {
@@ -54,10 +59,12 @@
 			.withStartMillis(settings.startMillis());
 		this.control = new ControlLoop(new FleetMember(fleet, random, now), this.context, fleet.tickMillis());
 		TargetClient target = this.closer.register(new TargetClient(settings));
-		this.home = new HomeService(this.context, target, random);
+		HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.closer.register(timer::stop);
 		CallClient calls = new CallClient(this.context);
-		EntryService entry = this.closer
-			.register(new EntryService(this.context, this.home, calls, this::mention, random));
+		DeathReporter deaths = new DeathReporter(this.context, calls, timer);
+		this.home = new HomeService(this.context, target, deaths, random);
+		this.entry = new EntryService(this.context, this.home, calls, timer, this::mention, random);
 		PeerTransport transport = this.closer.register(new PeerTransport(self, PEER_THREADS,
 				new PeerListener(this.context, this.control, calls, this.home, this::mention), this.context.metrics()));
 		calls.use(transport);
@@ -67,7 +74,7 @@
 		this.control.start(transport, platform);
 		this.closer.register(this.control);
 		startProbing(target);
-		startFront(CallerFront.create(entry), settings.callerAddress());
+		startFront(CallerFront.create(this.entry), settings.callerAddress());
 		startFront(OperatorFront.create(this.context, this.control, this.home), settings.operatorAddress());
 	}
 
@@ -112,7 +119,7 @@
 	}
 
 	private boolean isBusy() {
-		return this.context.state().life() != LifeState.LEAVING || this.home.inFlight() > 0;
+		return this.context.state().life() != LifeState.LEAVING || this.home.inFlight() > 0 || this.entry.active() > 0;
 	}
 
 	private static void pause() {
--- a/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
+++ b/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
@@ -1,5 +1,8 @@
 package org.eelgrasspitch.node;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongConsumer;
 
 import org.eelgrasspitch.fleet.FleetEvent;
@@ -24,6 +27,9 @@
 
 	private final HomeService home;
 
+	/** How to give up the requests that run here for other nodes. */
+	private final Map<RunningCall, Runnable> running = new ConcurrentHashMap<>();
+
 	/** Told about revisions that other nodes use. */
 	private final LongConsumer mentioned;
 
@@ -70,8 +76,7 @@
 		switch (message) {
 			case CallMessage.Request request -> {
 				this.mentioned.accept(request.revision());
-				this.home.handle(request, (outcome) -> reply(connection,
-						new CallMessage.Reply(request.call(), outcome, this.context.state().revision())));
+				run(connection, request);
 			}
 			case CallMessage.Reply reply -> {
 				this.mentioned.accept(reply.revision());
@@ -81,14 +86,46 @@
 			case CallMessage.TicketQuery query -> reply(connection, this.home.tickets(query));
 			case CallMessage.OutcomeQuery query -> reply(connection, new CallMessage.Reply(query.call(),
 					this.home.outcome(query.ticket()), this.context.state().revision()));
+			case CallMessage.DeathNotice notice -> {
+				this.home.noteDeath(notice);
+				reply(connection, new CallMessage.Noted(notice.call()));
+			}
+			case CallMessage.Noted noted -> this.calls.received(connection, noted);
 			case CallMessage.Cancel cancel -> {
-				// Work that nobody waits for is dropped when its deadline passes.
+				Runnable running = this.running.remove(new RunningCall(connection.id(), cancel.call()));
+				if (running != null) {
+					running.run();
+				}
 			}
 		}
 	}
 
+	private void run(PeerConnection connection, CallMessage.Request request) {
+		RunningCall key = new RunningCall(connection.id(), request.call());
+		AtomicBoolean ended = new AtomicBoolean();
+		Runnable cancel = this.home.handle(request, (outcome) -> {
+			ended.set(true);
+			this.running.remove(key);
+			reply(connection, new CallMessage.Reply(request.call(), outcome, this.context.state().revision()));
+		});
+		this.running.put(key, cancel);
+		if (ended.get()) {
+			this.running.remove(key);
+		}
+	}
+
 	private static void reply(PeerConnection connection, CallMessage message) {
 		connection.send(new Frame.Call(message));
 	}
 
+	/**
+	 * Names a request that runs here.
+	 *
+	 * @param connection number of the connection that it came on
+	 * @param call number of the call
+	 */
+	private record RunningCall(long connection, long call) {
+
+	}
+
 }
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/RecordKeeper.java
@@ -0,0 +1,112 @@
+package org.eelgrasspitch.node;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Claim;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.RecordTable;
+import org.eelgrasspitch.request.Ticket;
+
+/**
+ * Guards the {@link RecordTable} by a lock and lets attempts that find their request
+ * running wait for its outcome.
+ */
+final class RecordKeeper {
+
+	private static final int MAX_TICKETS = 100;
+
+	private final NodeContext context;
+
+	private final RecordTable table;
+
+	/** Attempts that wait for a running request's outcome. */
+	private final Map<Ticket, List<Consumer<CallOutcome>>> followers = new HashMap<>();
+
+	RecordKeeper(NodeContext context, RandomGenerator random) {
+		this.context = context;
+		NodeSettings settings = context.settings();
+		this.table = new RecordTable(settings.vm(), settings.advertisedAddress(), context.incarnation(),
+				settings.recordCapacity(), random);
+	}
+
+	synchronized List<Ticket> issue(int wanted) {
+		int count = Math.max(1, Math.min(wanted, MAX_TICKETS));
+		return this.table.issue(count, this.context.uptimeMillis());
+	}
+
+	/**
+	 * Tries to start a request.
+	 * @param request a request of an at-most-once operation
+	 * @param reply receives the outcome when the request must not be started by this
+	 * attempt
+	 * @return true when this attempt must start it
+	 */
+	boolean claim(CallMessage.Request request, Consumer<CallOutcome> reply) {
+		if (request.ticket().isEmpty()) {
+			reply.accept(new CallOutcome.NotRun(Reason.TICKET_MISUSED, 0));
+			return false;
+		}
+		switch (claimOrFollow(request.ticket().get(), request, reply)) {
+			case Claim.Start start -> {
+				return true;
+			}
+			case Claim.Running running -> {
+				// The attempt that runs answers this one as well.
+			}
+			case Claim.Finished finished -> reply.accept(finished.outcome());
+			case Claim.Refused refused -> reply.accept(refused.outcome());
+		}
+		return false;
+	}
+
+	/**
+	 * Records how a started request ended and tells the attempts that wait for it.
+	 * @param ticket its ticket
+	 * @param outcome the outcome
+	 */
+	void end(Ticket ticket, CallOutcome outcome) {
+		List<Consumer<CallOutcome>> waiting;
+		synchronized (this) {
+			if (outcome instanceof CallOutcome.NotRun) {
+				this.table.release(ticket);
+			}
+			else {
+				this.table.finish(ticket, outcome);
+			}
+			List<Consumer<CallOutcome>> removed = this.followers.remove(ticket);
+			waiting = (removed != null) ? removed : List.of();
+		}
+		waiting.forEach((reply) -> reply.accept(outcome));
+	}
+
+	synchronized CallOutcome outcome(Ticket ticket) {
+		return this.table.outcome(ticket, this.context.uptimeMillis());
+	}
+
+	synchronized int size() {
+		return this.table.size();
+	}
+
+	private synchronized Claim claimOrFollow(Ticket ticket, CallMessage.Request request, Consumer<CallOutcome> reply) {
+		Claim claim = this.table.claim(ticket, content(request), this.context.uptimeMillis());
+		if (claim instanceof Claim.Running) {
+			this.followers.computeIfAbsent(ticket, (key) -> new ArrayList<>()).add(reply);
+		}
+		return claim;
+	}
+
+	private static Digest content(CallMessage.Request request) {
+		String text = request.route() + "\n" + Digest.of(request.body());
+		return Digest.of(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -118,6 +118,32 @@
 		});
 	}
 
+	/**
+	 * Finds out whether the target died: whether it refuses connections.
+	 * @param dead called when it does
+	 * @param alive called when it does not, or when that cannot be told
+	 */
+	void ifDead(Runnable dead, Runnable alive) {
+		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
+		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		call.enqueue(new Callback() {
+			@Override
+			public void onFailure(Call failed, IOException cause) {
+				if (cause instanceof ConnectException) {
+					dead.run();
+					return;
+				}
+				alive.run();
+			}
+
+			@Override
+			public void onResponse(Call answered, Response response) {
+				response.close();
+				alive.run();
+			}
+		});
+	}
+
 	@Override
 	public void close() {
 		this.client.dispatcher().executorService().shutdown();
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/DeploymentWriter.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/DeploymentWriter.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 /**
  * Writes deployments of any size for tests and measurements. VM {@code n} of failure
@@ -28,6 +29,8 @@
 	/** Slots of every service but the first. */
 	public static final int DEFAULT_SLOTS = 10;
 
+	private static final long WORD_SEED = 42;
+
 	private static final int MAX_SEEDS = 3;
 
 	/**
@@ -76,11 +79,12 @@
 	 */
 	public byte[] text(int slots, int padding, int operations) {
 		List<String> lines = new ArrayList<>();
+		SplittableRandom random = new SplittableRandom(WORD_SEED);
 		for (String service : this.services) {
 			StringBuilder extra = new StringBuilder();
 			for (int index = 0; index < operations; index++) {
 				extra.append(",{\"name\": \"%s%d\", \"kind\": \"idempotent\", \"deadlineMillis\": 3000}"
-					.formatted("x".repeat(padding), index));
+					.formatted(word(random, padding), index));
 			}
 			lines.add("""
 					{"name": "%s", "slots": %d, "connections": 100, "operations": [
@@ -94,6 +98,14 @@
 			.getBytes(StandardCharsets.UTF_8);
 	}
 
+	private static String word(SplittableRandom random, int length) {
+		StringBuilder word = new StringBuilder();
+		for (int index = 0; index < length; index++) {
+			word.append((char) ('a' + random.nextInt(26)));
+		}
+		return word.toString();
+	}
+
 	private String settings(int index) {
 		List<String> seeds = new ArrayList<>();
 		int domains = this.failureDomains.size();
--- a/wire/src/main/java/org/eelgrasspitch/wire/CallCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/CallCodec.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.request.CallMessage;
 import org.eelgrasspitch.request.CallOutcome;
 import org.eelgrasspitch.request.Header;
@@ -12,8 +13,10 @@
 import org.eelgrasspitch.request.Ticket;
 import org.eelgrasspitch.text.RouteKey;
 import org.eelgrasspitch.wire.generated.WireCancel;
+import org.eelgrasspitch.wire.generated.WireDeathNotice;
 import org.eelgrasspitch.wire.generated.WireHeader;
 import org.eelgrasspitch.wire.generated.WireMessage;
+import org.eelgrasspitch.wire.generated.WireNoted;
 import org.eelgrasspitch.wire.generated.WireOutcomeQuery;
 import org.eelgrasspitch.wire.generated.WireReply;
 import org.eelgrasspitch.wire.generated.WireRequest;
@@ -47,6 +50,9 @@
 			case CallMessage.Tickets tickets -> WireMessage.tickets(wire(tickets));
 			case CallMessage.OutcomeQuery query ->
 				WireMessage.outcomeQuery(new WireOutcomeQuery(query.call(), query.ticket().written()));
+			case CallMessage.DeathNotice notice -> WireMessage.deathNotice(
+					new WireDeathNotice(notice.call(), ByteBuffer.wrap(notice.fingerprint().bytes()), notice.target()));
+			case CallMessage.Noted noted -> WireMessage.noted(new WireNoted(noted.call()));
 		};
 	}
 
@@ -59,6 +65,9 @@
 			case TICKETS -> tickets(message.getTickets());
 			case OUTCOME_QUERY -> new CallMessage.OutcomeQuery(message.getOutcomeQuery().getCall(),
 					ticket(message.getOutcomeQuery().getTicket()));
+			case DEATH_NOTICE -> new CallMessage.DeathNotice(message.getDeathNotice().getCall(),
+					FrameCodec.digest(message.getDeathNotice().getFingerprint()), message.getDeathNotice().getTarget());
+			case NOTED -> new CallMessage.Noted(message.getNoted().getCall());
 			default -> throw new MalformedFrameException("not about requests: " + message.getSetField());
 		};
 	}
@@ -68,6 +77,7 @@
 				request.route().operation(), request.remainingMillis(), wire(request.headers()),
 				ByteBuffer.wrap(request.body()), request.revision());
 		request.ticket().ifPresent((ticket) -> wire.setTicket(ticket.written()));
+		request.fingerprint().ifPresent((fingerprint) -> wire.setFingerprint(fingerprint.bytes()));
 		return wire;
 	}
 
@@ -100,7 +110,11 @@
 		Optional<Ticket> ticket = request.isSetTicket() ? Optional.of(ticket(request.getTicket())) : Optional.empty();
 		return new CallMessage.Request(request.getCall(), request.getRequestId(),
 				new RouteKey(request.getServiceName(), request.getOperationName()), request.getRemainingMillis(),
-				ticket, headers(request.getHeaders()), request.getBody(), request.getRevision());
+				ticket, fingerprint(request), headers(request.getHeaders()), request.getBody(), request.getRevision());
+	}
+
+	private static Optional<Digest> fingerprint(WireRequest request) throws MalformedFrameException {
+		return request.isSetFingerprint() ? Optional.of(FrameCodec.digest(request.getFingerprint())) : Optional.empty();
 	}
 
 	private static CallMessage.Reply reply(WireReply reply) throws MalformedFrameException {
--- a/wire/src/main/java/org/eelgrasspitch/wire/FleetCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/FleetCodec.java
@@ -84,7 +84,7 @@
 		if (!set) {
 			return Optional.empty();
 		}
-		return Optional.of(new Version(version.getRevision(), digest(version.getDigest())));
+		return Optional.of(new Version(version.getRevision(), FrameCodec.digest(version.getDigest())));
 	}
 
 	private static PeerMessage pull(WirePull pull) throws MalformedFrameException {
@@ -92,7 +92,7 @@
 		for (ByteBuffer digest : pull.getHeld()) {
 			byte[] bytes = new byte[digest.remaining()];
 			digest.duplicate().get(bytes);
-			held.add(digest(bytes));
+			held.add(FrameCodec.digest(bytes));
 		}
 		return new PeerMessage.Pull(FrameCodec.constant(Channel.values(), pull.getChannel()), held);
 	}
@@ -100,22 +100,15 @@
 	private static PeerMessage parts(WireParts parts) throws MalformedFrameException {
 		List<PeerMessage.PartName> manifest = new ArrayList<>();
 		for (WirePartName name : parts.getManifest()) {
-			manifest.add(new PeerMessage.PartName(name.getName(), digest(name.getDigest())));
+			manifest.add(new PeerMessage.PartName(name.getName(), FrameCodec.digest(name.getDigest())));
 		}
 		List<Part> received = new ArrayList<>();
 		for (WirePart part : parts.getParts()) {
 			byte[] content = PartCompressor.expand(part.getContent(), part.getLength());
-			received.add(new Part(part.getName(), digest(part.getDigest()), content));
+			received.add(new Part(part.getName(), FrameCodec.digest(part.getDigest()), content));
 		}
 		return new PeerMessage.Parts(FrameCodec.constant(Channel.values(), parts.getChannel()),
 				version(parts.isSetVersion(), parts.getVersion()), manifest, received);
 	}
 
-	private static Digest digest(byte[] bytes) throws MalformedFrameException {
-		if (bytes.length != Digest.BYTES) {
-			throw new MalformedFrameException("digest of " + bytes.length + " bytes");
-		}
-		return Digest.of(bytes, 0);
-	}
-
 }
--- a/wire/src/main/java/org/eelgrasspitch/wire/FrameCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/FrameCodec.java
@@ -9,6 +9,7 @@
 import org.apache.thrift.transport.TMemoryInputTransport;
 import org.eelgrasspitch.fleet.Peer;
 import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.wire.generated.WireHello;
 import org.eelgrasspitch.wire.generated.WireMessage;
 
@@ -72,7 +73,7 @@
 		return switch (message.getSetField()) {
 			case HELLO -> hello(message.getHello());
 			case STATUS, QUERY, PULL, PARTS -> new Frame.Fleet(this.fleet.message(message));
-			case REQUEST, REPLY, CANCEL, TICKET_QUERY, TICKETS, OUTCOME_QUERY ->
+			case REQUEST, REPLY, CANCEL, TICKET_QUERY, TICKETS, OUTCOME_QUERY, DEATH_NOTICE, NOTED ->
 				new Frame.Call(this.call.message(message));
 		};
 	}
@@ -91,6 +92,19 @@
 				purpose);
 	}
 
+	/**
+	 * Checks the length of a received digest.
+	 * @param bytes the received bytes
+	 * @return the digest
+	 * @throws MalformedFrameException if the length is wrong
+	 */
+	static Digest digest(byte[] bytes) throws MalformedFrameException {
+		if (bytes.length != Digest.BYTES) {
+			throw new MalformedFrameException("digest of " + bytes.length + " bytes");
+		}
+		return Digest.of(bytes, 0);
+	}
+
 	/**
 	 * Looks up an enumeration constant by a received number.
 	 * @param <E> type of the constants
--- a/wire/src/main/thrift/eelgrasspitch.thrift
+++ b/wire/src/main/thrift/eelgrasspitch.thrift
@@ -71,6 +71,7 @@
   7: required list<WireHeader> headers
   8: required binary body
   9: required i64 revision
+  10: optional binary fingerprint
 }
 
 struct WireReply {
@@ -107,6 +108,16 @@
   2: required string ticket
 }
 
+struct WireDeathNotice {
+  1: required i64 call
+  2: required binary fingerprint
+  3: required string target
+}
+
+struct WireNoted {
+  1: required i64 call
+}
+
 union WireMessage {
   1: WireHello hello
   2: WireStatus status
@@ -119,4 +130,6 @@
   9: WireTicketQuery ticketQuery
   10: WireTickets tickets
   11: WireOutcomeQuery outcomeQuery
+  12: WireDeathNotice deathNotice
+  13: WireNoted noted
 }
