Prove at-most-once under kills, pauses, cuts and planned stops

Cause: on SIGTERM an in-flight payment was cut off. Seen by the scenario of a planned stop, which failed first. Ruled out: the drain loop (it waited as meant, once it lingered for requests on the wire). Found: the HTTP library registers a shutdown hook of its own that closes connections at once. Change: that hook is switched off and a leaving node lingers for a second.

--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -32,6 +32,14 @@
 
 	private static final long PROBE_MILLIS = 1_000;
 
+	/**
+	 * Switches off the HTTP library's own reaction to a termination signal, which would
+	 * close connections while their requests still run.
+	 */
+	private static final String SERVER_HOOK = "jooby.useShutdownHook";
+
+	private static final long LINGER_MILLIS = 1_000;
+
 	private static final long TIMER_TICK_MILLIS = 10;
 
 	private static final long DRAIN_POLL_MILLIS = 20;
@@ -84,6 +92,7 @@
 	 * @return the running node
 	 */
 	public static Node start(NodeSettings settings) {
+		System.setProperty(SERVER_HOOK, Boolean.toString(false));
 		Node node = new Node(settings, TimeSource.system(), new java.security.SecureRandom());
 		node.context.log()
 			.info("node_started", Field.of("vm", settings.vm()), Field.of("failure_domain", settings.failureDomain()),
@@ -97,11 +106,14 @@
 	 */
 	public void leave() {
 		this.control.post(new FleetEvent.LeaveRequested());
-		long giveUpAt = this.context.time().monotonicMillis() + this.context.settings().drainMillis();
-		pause();
-		while (this.context.time().monotonicMillis() < giveUpAt && isBusy()) {
+		long now = this.context.time().monotonicMillis();
+		long giveUpAt = now + this.context.settings().drainMillis();
+		long lingerUntil = now + LINGER_MILLIS;
+		do {
 			pause();
+			now = this.context.time().monotonicMillis();
 		}
+		while (now < lingerUntil || (now < giveUpAt && isBusy()));
 		this.context.log().info("node_drained", Field.of("in_flight", this.home.inFlight()));
 		this.control.post(new FleetEvent.Drained());
 		close();
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/BrokenTarget.java
@@ -0,0 +1,89 @@
+package org.eelgrasspitch.testkit;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Stands in for a target that says it is healthy and breaks off in the middle of every
+ * answer.
+ */
+public final class BrokenTarget implements AutoCloseable {
+
+	private static final int BACKLOG = 100;
+
+	private static final int BUFFER_BYTES = 65_536;
+
+	private final ServerSocket server;
+
+	/** Requests other than health checks that arrived. */
+	private final AtomicInteger received = new AtomicInteger();
+
+	/**
+	 * Starts a broken target.
+	 * @param address where it listens
+	 */
+	public BrokenTarget(InetSocketAddress address) {
+		try {
+			this.server = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		Thread thread = new Thread(this::accept, "broken-target");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	/**
+	 * Returns how many requests arrived, without health checks.
+	 * @return the number since the start
+	 */
+	public int received() {
+		return this.received.get();
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.server.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try (Socket socket = this.server.accept()) {
+				serve(socket);
+			}
+			catch (IOException ex) {
+				// The socket was closed, or its other side broke off: nothing to tell
+				// anybody.
+				continue;
+			}
+		}
+	}
+
+	private void serve(Socket socket) throws IOException {
+		InputStream input = socket.getInputStream();
+		byte[] buffer = new byte[BUFFER_BYTES];
+		int length = input.read(buffer);
+		String head = new String(buffer, 0, Math.max(length, 0), StandardCharsets.UTF_8);
+		boolean health = head.startsWith("GET /health");
+		if (!health) {
+			this.received.incrementAndGet();
+		}
+		String answer = health ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
+				: "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"requestId\": \"half";
+		socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+		socket.getOutputStream().flush();
+	}
+
+}
