Prove requests under load and random faults

Cause: refusals, whole answers, leaving, deadly requests and retry budgets had no proof. Change: five scenarios with many callers, a target that breaks off answers, targets as processes that crash, and 25 s of random kills, pauses and cuts from a fixed seed.

--- /dev/null
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
@@ -0,0 +1,248 @@
+package org.eelgrasspitch.scenarios;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import org.eelgrasspitch.testkit.BrokenTarget;
+import org.eelgrasspitch.testkit.Cluster;
+import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
+import org.eelgrasspitch.testkit.HttpCaller.CallSpec;
+import org.eelgrasspitch.testkit.JavaProcess;
+import org.eelgrasspitch.testkit.LoadGenerator;
+import org.eelgrasspitch.testkit.MetricsReader;
+import org.testng.Assert;
+
+/**
+ * Steps with many callers at once, with targets that leave, break or crash, and with
+ * random faults from a fixed seed.
+ */
+public class LoadSteps {
+
+	private static final long SEED = 20_261_203;
+
+	private static final long CALLER_TIMEOUT_MILLIS = 12_000;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private final World world = Worlds.current();
+
+	private LoadGenerator load;
+
+	private BrokenTarget broken;
+
+	private int receivedBefore;
+
+	/** Answers to the request that crashes targets. */
+	private final List<Optional<CallAnswer>> crashAnswers = new ArrayList<>();
+
+	@Given("callers look up and pay all the time")
+	public void callers() {
+		List<LoadGenerator.Flow> flows = new ArrayList<>();
+		for (int index = 0; index < 4; index++) {
+			flows.add(new LoadGenerator.Flow("renewals", "pay", true, 10));
+			flows.add(new LoadGenerator.Flow("renewals", "read", false, 10));
+			flows.add(new LoadGenerator.Flow("archive", "read", false, 10));
+		}
+		startLoad(flows);
+	}
+
+	@Given("{int} callers look up and {int} callers pay without a pause")
+	public void busyCallers(int lookups, int payers) {
+		List<LoadGenerator.Flow> flows = new ArrayList<>();
+		for (int index = 0; index < lookups; index++) {
+			flows.add(new LoadGenerator.Flow("renewals", "read", false, 0));
+		}
+		for (int index = 0; index < payers; index++) {
+			flows.add(new LoadGenerator.Flow("renewals", "pay", true, 0));
+		}
+		startLoad(flows);
+	}
+
+	@When("for {int} seconds nodes are killed, paused and cut off at random")
+	public void chaos(int seconds) {
+		SplittableRandom random = new SplittableRandom(SEED);
+		long endAt = System.nanoTime() + seconds * 1_000_000_000L;
+		List<String> vms = this.world.cluster().vms();
+		while (System.nanoTime() < endAt) {
+			String vm = vms.get(random.nextInt(vms.size()));
+			switch (random.nextInt(4)) {
+				case 0 -> {
+					this.world.cluster().node(vm).kill();
+					this.world.cluster().startNode(vm);
+				}
+				case 1 -> pauseAWhile(vm, 1_500);
+				case 2 -> cutAWhile(random.nextInt(3) + 1, random.nextBoolean());
+				default -> this.world.publishChange();
+			}
+			Cluster.sleep(500);
+		}
+	}
+
+	@When("the callers stop")
+	public void stopLoad() {
+		this.load.stop();
+	}
+
+	@Then("no request ran twice that must not")
+	public void noneTwice() {
+		for (Map.Entry<String, Integer> entry : this.world.starts().entrySet()) {
+			boolean payment = entry.getKey().startsWith("renewals-pay-");
+			Assert.assertTrue(!payment || entry.getValue() <= 1,
+					entry.getKey() + " ran " + entry.getValue() + " times");
+		}
+	}
+
+	@Then("every answered payment ran, and no refused request did")
+	public void truthful() {
+		Set<String> started = this.world.starts().keySet();
+		List<String> unpaid = this.load.paid().stream().filter((id) -> !started.contains(id)).toList();
+		Assert.assertEquals(unpaid, List.of(), "answered without a run");
+		List<String> lies = this.load.refused().stream().filter(started::contains).toList();
+		Assert.assertEquals(lies, List.of(), "refused as not run, but ran");
+		Assert.assertFalse(this.load.paid().isEmpty(), "no payment was answered");
+	}
+
+	@Then("every answer belonged to its own request and was whole")
+	public void wholeAnswers() {
+		Assert.assertEquals(this.load.violations(), List.of());
+	}
+
+	@Then("at most {int} requests were not answered")
+	public void mostlyAnswered(int most) {
+		int open = this.load.outcomes()
+			.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().endsWith(" answered"))
+			.mapToInt(Map.Entry::getValue)
+			.sum();
+		Assert.assertTrue(open <= most, "not answered: " + this.load.outcomes());
+	}
+
+	@Then("callers were answered at least {int} times")
+	public void answeredAtLeast(int least) {
+		int answered = this.load.outcomes()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().endsWith(" answered"))
+			.mapToInt(Map.Entry::getValue)
+			.sum();
+		Assert.assertTrue(answered >= least, "answered: " + this.load.outcomes());
+	}
+
+	@When("the target of {word} begins to drain")
+	public void drain(String vm) {
+		this.world.target(vm).drain(true);
+	}
+
+	@When("{int} seconds later its requests are counted")
+	public void countLater(int seconds) {
+		Cluster.sleep(seconds * MILLIS_PER_SECOND);
+	}
+
+	@Then("the target of {word} gets no request within {int} seconds")
+	public void getsNothing(String vm, int seconds) {
+		int before = this.world.target(vm).receivedWhileDraining();
+		Cluster.sleep(seconds * MILLIS_PER_SECOND);
+		Assert.assertEquals(this.world.target(vm).receivedWhileDraining() - before, 0, "requests at a leaving target");
+	}
+
+	@Given("the target of {word} breaks off every answer but says it is healthy")
+	public void breakTarget(String vm) {
+		this.world.target(vm).close();
+		this.broken = new BrokenTarget(this.world.cluster().deployment().member(vm).settings().targetAddress());
+	}
+
+	@When("the broken target's requests are counted from now")
+	public void countBroken() {
+		this.receivedBefore = this.broken.received();
+	}
+
+	@Then("the broken target got at most {int} requests since")
+	public void brokenGot(int most) {
+		int received = this.broken.received() - this.receivedBefore;
+		Assert.assertTrue(received <= most, "the broken target got " + received + " requests");
+	}
+
+	@Given("targets are processes of their own")
+	public void targetProcesses() {
+		this.world.replaceTargetsByProcesses();
+	}
+
+	@When("a caller sends a lookup that crashes its target through node {word}")
+	public void crash(String vm) {
+		CallSpec spec = new CallSpec("renewals", "read", "deadly-1", Optional.empty(), 1, new byte[] { 1 }, true);
+		this.crashAnswers.add(this.world.caller().call(callerPort(vm), spec));
+	}
+
+	@Then("at most {int} targets have crashed")
+	public void crashed(int most) {
+		List<JavaProcess> dead = this.world.deadTargets();
+		Assert.assertTrue(dead.size() <= most, "crashed: " + dead);
+		Assert.assertFalse(dead.isEmpty(), "no target crashed: the request did not reach any");
+	}
+
+	@Then("each of its callers got a final answer")
+	public void finalAnswers() {
+		for (Optional<CallAnswer> answer : this.crashAnswers) {
+			Assert.assertEquals(answer.flatMap(CallAnswer::ran).orElse("none"), "unknown");
+		}
+	}
+
+	@Then("retries of all nodes were at most {int} percent of requests")
+	public void retryShare(int percent) {
+		double retries = 0;
+		double requests = 0;
+		for (String vm : this.world.cluster().vms()) {
+			InetSocketAddress operators = this.world.cluster().deployment().member(vm).settings().operatorAddress();
+			retries += MetricsReader.sum(this.world.caller(), operators, "eelgrasspitch_retries_total", "");
+			requests += MetricsReader.sum(this.world.caller(), operators, "eelgrasspitch_requests_total", "");
+		}
+		double saved = 10.0 * this.world.cluster().vms().size();
+		Assert.assertTrue(retries <= requests * percent / 100 + saved, retries + " retries, " + requests + " requests");
+	}
+
+	@After
+	public void close() {
+		if (this.load != null) {
+			this.load.close();
+		}
+		if (this.broken != null) {
+			this.broken.close();
+		}
+	}
+
+	private void startLoad(List<LoadGenerator.Flow> flows) {
+		List<InetSocketAddress> nodes = this.world.cluster().vms().stream().map(this::callerPort).toList();
+		this.load = new LoadGenerator(nodes, flows, CALLER_TIMEOUT_MILLIS);
+		this.load.start(SEED);
+	}
+
+	private void pauseAWhile(String vm, long millis) {
+		this.world.cluster().node(vm).pause();
+		Cluster.sleep(millis);
+		this.world.cluster().node(vm).resume();
+	}
+
+	private void cutAWhile(int failureDomain, boolean both) {
+		this.world.cut("fd-" + failureDomain, false);
+		if (both) {
+			this.world.cut("fd-" + failureDomain, true);
+		}
+		Cluster.sleep(2_000);
+		this.world.links().heal();
+	}
+
+	private InetSocketAddress callerPort(String vm) {
+		return this.world.cluster().deployment().member(vm).settings().callerAddress();
+	}
+
+}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -20,6 +20,7 @@
 import org.eelgrasspitch.testkit.Deployment;
 import org.eelgrasspitch.testkit.DeploymentWriter;
 import org.eelgrasspitch.testkit.HttpCaller;
+import org.eelgrasspitch.testkit.JavaProcess;
 import org.eelgrasspitch.testkit.LinkSwitch;
 import org.eelgrasspitch.testkit.PlatformStandIn;
 import org.eelgrasspitch.testkit.TargetStandIn;
@@ -56,6 +57,9 @@
 	/** Revision of the latest bad text; 0 before the first. */
 	private long badRevision;
 
+	/** Targets that run as processes; empty unless a scenario wants them. */
+	private List<JavaProcess> targetProcesses = List.of();
+
 	private DeploymentWriter writer;
 
 	private Cluster cluster;
@@ -113,6 +117,15 @@
 		})));
 	}
 
+	void replaceTargetsByProcesses() {
+		this.targets.values().forEach(TargetStandIn::close);
+		this.targetProcesses = this.cluster.startTargets(2);
+	}
+
+	List<JavaProcess> deadTargets() {
+		return this.targetProcesses.stream().filter((process) -> !process.isAlive()).toList();
+	}
+
 	long publishChange() {
 		this.slots++;
 		this.latest = publish(this.writer.text(this.slots, 0, 0));
--- /dev/null
+++ b/scenarios/src/test/resources/features/requests.feature
@@ -0,0 +1,59 @@
+Feature: Requests
+  Callers get true and whole answers while targets leave, break, crash or are overloaded.
+
+  Scenario: Random faults run nothing twice and tell no lie
+    Given a mesh of 9 nodes in 3 failure domains
+    And callers look up and pay all the time
+    When for 25 seconds nodes are killed, paused and cut off at random
+    And the callers stop
+    Then no request ran twice that must not
+    And every answered payment ran, and no refused request did
+    And every answer belonged to its own request and was whole
+    And callers were answered at least 500 times
+    And no node ever moved back
+
+  Scenario: A leaving target gets no new work, though the list still names it
+    Given a mesh of 6 nodes in 3 failure domains
+    And callers look up and pay all the time
+    And 2 seconds pass
+    When the target of vm-001 begins to drain
+    And 3 seconds pass
+    Then the target of vm-001 gets no request within 4 seconds
+    When the callers stop
+    Then every answered payment ran, and no refused request did
+    And every answer belonged to its own request and was whole
+
+  Scenario: A target that lies about its health is avoided, and half an answer is never passed on
+    Given a mesh of 6 nodes in 3 failure domains
+    And the target of vm-002 breaks off every answer but says it is healthy
+    And callers look up and pay all the time
+    And 4 seconds pass
+    When the broken target's requests are counted from now
+    And 5 seconds pass
+    Then the broken target got at most 40 requests since
+    When the callers stop
+    Then every answer belonged to its own request and was whole
+
+  Scenario: A request that crashes its targets crashes at most two
+    Given a mesh of 6 nodes in 3 failure domains
+    And targets are processes of their own
+    When a caller sends a lookup that crashes its target through node vm-001
+    And a caller sends a lookup that crashes its target through node vm-002
+    And a caller sends a lookup that crashes its target through node vm-003
+    And a caller sends a lookup that crashes its target through node vm-004
+    And a caller sends a lookup that crashes its target through node vm-005
+    Then at most 2 targets have crashed
+    And each of its callers got a final answer
+    And 5 lookups of renewals through every node of fd-1 are answered
+
+  Scenario: Retries stay within a tenth when a whole service is down
+    Given a mesh of 6 nodes in 3 failure domains
+    And callers look up and pay all the time
+    And 2 seconds pass
+    When the target of vm-001 begins to drain
+    And the target of vm-002 begins to drain
+    And the target of vm-003 begins to drain
+    And 8 seconds pass
+    And the callers stop
+    Then retries of all nodes were at most 10 percent of requests
+    And every answered payment ran, and no refused request did
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/Cluster.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/Cluster.java
@@ -94,17 +94,20 @@
 	/**
 	 * Starts every target as a process.
 	 * @param serviceMillis time that a request takes, in milliseconds
+	 * @return the processes
 	 */
-	public void startTargets(long serviceMillis) {
+	public List<JavaProcess> startTargets(long serviceMillis) {
+		List<JavaProcess> started = new ArrayList<>();
 		for (Deployment.Member member : this.deployment.members()) {
-			start("target-" + member.settings().vm(),
+			started.add(start("target-" + member.settings().vm(),
 					List.of("target-stand-in", "--address", Addresses.format(member.settings().targetAddress()),
-							"--name", member.settings().vm(), "--service-millis", Long.toString(serviceMillis)));
+							"--name", member.settings().vm(), "--service-millis", Long.toString(serviceMillis))));
 		}
 		for (Deployment.Member member : this.deployment.members()) {
 			require("target " + member.settings().vm() + " answers", 20_000,
 					() -> this.control.get(member.settings().targetAddress(), "/health").isPresent());
 		}
+		return started;
 	}
 
 	/**
