Measure the time that two nodes add to a call

Cause: the target of 0.37 ms added for 99 in 100 had no figure. Change: open loop, paired calls straight and through both nodes, HdrHistogram.

--- a/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -14,6 +14,7 @@
 import org.eelgrasspitch.fleet.Distribution;
 import org.eelgrasspitch.testkit.ConfigMeasurement;
 import org.eelgrasspitch.testkit.Json;
+import org.eelgrasspitch.testkit.RequestMeasurement;
 
 /**
  * Measures on this machine.
@@ -24,9 +25,20 @@
 
 	@Override
 	public void register(Subparsers parsers) {
-		Subparser parser = parsers.addParser("measure").help("measure how changes reach all nodes, and the cost");
+		Subparser parser = parsers.addParser("measure").help("measure changes of the configuration, or requests");
 		parser.description("Runs real node processes on loopback addresses. Prints a table, or JSON lines with --json. "
 				+ "Example: eelgrasspitch measure --nodes 12 24 --distribution parts whole poll");
+		parser.addArgument("subject")
+			.nargs("?")
+			.choices("config", "requests")
+			.setDefault("config")
+			.help("changes of the configuration, or the time that nodes add to requests");
+		parser.addArgument("--calls")
+			.type(Integer.class)
+			.nargs("+")
+			.setDefault(List.of(67, 670))
+			.help("calls a second");
+		parser.addArgument("--seconds").type(Integer.class).setDefault(20).help("length of a measurement of requests");
 		parser.addArgument("--nodes")
 			.type(Integer.class)
 			.nargs("+")
@@ -45,6 +57,30 @@
 
 	@Override
 	public int run(Namespace arguments) {
+		return arguments.getString("subject").equals("config") ? config(arguments) : requests(arguments);
+	}
+
+	private static int requests(Namespace arguments) {
+		boolean json = arguments.getBoolean("json");
+		int seconds = arguments.getInt("seconds");
+		List<RequestMeasurement.Result> results = new ArrayList<>();
+		int octet = FIRST_OCTET;
+		for (Integer calls : arguments.<Integer>getList("calls")) {
+			RequestMeasurement.Plan plan = new RequestMeasurement.Plan(calls, seconds, seconds, octet++);
+			RequestMeasurement.Result result = RequestMeasurement.run(plan, directory(), System.err);
+			results.add(result);
+			if (json) {
+				System.out.println(Json.write(result));
+			}
+		}
+		if (!json) {
+			System.out.println(RequestMeasurement.Result.heading());
+			results.forEach((result) -> System.out.println(result.row()));
+		}
+		return ExitCode.OK;
+	}
+
+	private static int config(Namespace arguments) {
 		boolean json = arguments.getBoolean("json");
 		List<ConfigMeasurement.Result> results = new ArrayList<>();
 		int octet = FIRST_OCTET;
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/RequestMeasurement.java
@@ -0,0 +1,256 @@
+package org.eelgrasspitch.testkit;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.text.Channel;
+
+/**
+ * Measures the time that two nodes, the caller's and the target's, add to a call. Calls
+ * alternate between the way through both nodes and the same call made straight to the
+ * target, in one run, so that both see the same machine. The load is open-loop: each call
+ * has a scheduled time, and its latency counts from then, whether or not earlier calls
+ * have come back.
+ */
+public final class RequestMeasurement {
+
+	private static final long START_MILLIS = 60_000;
+
+	private static final long MAX_MICROS = 60_000_000;
+
+	/**
+	 * Index of the node that callers use; it prefers the target of its failure domain.
+	 */
+	private static final int ENTRY = 1;
+
+	/** Index of the node of that target. */
+	private static final int HOME = 3;
+
+	private static final RequestBody BODY = RequestBody.create(new byte[200]);
+
+	private final Cluster cluster;
+
+	private final Plan plan;
+
+	private final OkHttpClient client;
+
+	private final Histogram direct = new ConcurrentHistogram(MAX_MICROS, 3);
+
+	private final Histogram routed = new ConcurrentHistogram(MAX_MICROS, 3);
+
+	private final AtomicInteger failures = new AtomicInteger();
+
+	private RequestMeasurement(Plan plan, Cluster cluster) {
+		this.plan = plan;
+		this.cluster = cluster;
+		Dispatcher dispatcher = new Dispatcher();
+		dispatcher.setMaxRequests(Integer.MAX_VALUE);
+		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.callTimeout(Duration.ofSeconds(10))
+			.connectionPool(new ConnectionPool(1_000, 1, TimeUnit.MINUTES))
+			.build();
+	}
+
+	/**
+	 * Runs one measurement.
+	 * @param plan what to measure
+	 * @param directory an empty directory for files and logs
+	 * @param progress receives a line now and then
+	 * @return the result
+	 */
+	public static Result run(Plan plan, Path directory, PrintStream progress) {
+		DeploymentWriter writer = new DeploymentWriter(plan.octet(), List.of("fd-1", "fd-2"), List.of("front", "back"),
+				4, false, "");
+		Deployment deployment = writer.write(directory.resolve("deployment"), writer.text(1_000, 0, 0));
+		try (Cluster cluster = new Cluster(deployment, directory)) {
+			PlatformStandIn platform = cluster.embedPlatform();
+			platform.publish(Channel.VMS, deployment.vms());
+			platform.publish(Channel.TEXT, deployment.text());
+			cluster.startTargets(0);
+			cluster.startNodes();
+			List<String> open = cluster.await(cluster.vms(), START_MILLIS,
+					(status) -> status.state().equals("serving"));
+			if (!open.isEmpty()) {
+				throw new IllegalStateException("do not serve: " + open);
+			}
+			return new RequestMeasurement(plan, cluster).run(progress);
+		}
+	}
+
+	private Result run(PrintStream progress) {
+		progress.printf("%d calls/s: warming up for %d s%n", this.plan.callsPerSecond(), this.plan.warmSeconds());
+		load(this.plan.warmSeconds());
+		this.direct.reset();
+		this.routed.reset();
+		this.failures.set(0);
+		progress.printf("%d calls/s: measuring for %d s%n", this.plan.callsPerSecond(), this.plan.seconds());
+		long entryCpu = cpuMillis(ENTRY);
+		long homeCpu = cpuMillis(HOME);
+		int calls = load(this.plan.seconds());
+		double entry = (cpuMillis(ENTRY) - entryCpu) * 1_000.0 / calls;
+		double home = (cpuMillis(HOME) - homeCpu) * 1_000.0 / calls;
+		this.client.dispatcher().executorService().shutdown();
+		return new Result(this.plan, calls, this.failures.get(), Micros.of(this.direct), Micros.of(this.routed), entry,
+				home);
+	}
+
+	/**
+	 * Sends calls alternately on both ways.
+	 * @param seconds how long
+	 * @return calls sent on each way
+	 */
+	private int load(int seconds) {
+		int calls = this.plan.callsPerSecond() * seconds;
+		long interval = TimeUnit.SECONDS.toNanos(1) / this.plan.callsPerSecond();
+		Request straight = request(member(HOME).settings().targetAddress(), "/read");
+		Request through = request(member(ENTRY).settings().callerAddress(), "/back/read");
+		CountDownLatch open = new CountDownLatch(2 * calls);
+		long startedAt = System.nanoTime();
+		for (int index = 0; index < calls; index++) {
+			long scheduled = startedAt + index * interval;
+			waitUntil(scheduled);
+			send(through, scheduled, this.routed, open);
+			long second = scheduled + interval / 2;
+			waitUntil(second);
+			send(straight, second, this.direct, open);
+		}
+		try {
+			open.await(1, TimeUnit.MINUTES);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return calls;
+	}
+
+	private void send(Request request, long scheduled, Histogram histogram, CountDownLatch open) {
+		this.client.newCall(request).enqueue(new Callback() {
+			@Override
+			public void onFailure(Call call, IOException cause) {
+				RequestMeasurement.this.failures.incrementAndGet();
+				open.countDown();
+			}
+
+			@Override
+			public void onResponse(Call call, Response response) throws IOException {
+				try (response) {
+					response.body().bytes();
+					long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - scheduled);
+					histogram.recordValue(Math.min(micros, MAX_MICROS));
+					if (response.code() != 200) {
+						RequestMeasurement.this.failures.incrementAndGet();
+					}
+				}
+				finally {
+					open.countDown();
+				}
+			}
+		});
+	}
+
+	private static void waitUntil(long nanos) {
+		long left = nanos - System.nanoTime();
+		while (left > 0) {
+			LockSupport.parkNanos(left);
+			left = nanos - System.nanoTime();
+		}
+	}
+
+	private static Request request(InetSocketAddress server, String path) {
+		return new Request.Builder().url("http://" + Addresses.format(server) + path).post(BODY).build();
+	}
+
+	private Deployment.Member member(int index) {
+		return this.cluster.deployment().members().get(index);
+	}
+
+	private long cpuMillis(int index) {
+		return ProcessUsage.cpuMillis(this.cluster.node(member(index).settings().vm()).pid());
+	}
+
+	/**
+	 * What to measure.
+	 *
+	 * @param callsPerSecond calls a second on each of the two ways
+	 * @param warmSeconds time before the measurement, in seconds
+	 * @param seconds time of the measurement, in seconds
+	 * @param octet second number of all addresses
+	 */
+	public record Plan(int callsPerSecond, int warmSeconds, int seconds, int octet) {
+
+	}
+
+	/**
+	 * Latencies in microseconds.
+	 *
+	 * @param p50 median
+	 * @param p99 99th percentile
+	 * @param p999 99.9th percentile
+	 */
+	public record Micros(long p50, long p99, long p999) {
+
+		static Micros of(Histogram histogram) {
+			return new Micros(histogram.getValueAtPercentile(50), histogram.getValueAtPercentile(99),
+					histogram.getValueAtPercentile(99.9));
+		}
+
+	}
+
+	/**
+	 * The result of one measurement.
+	 *
+	 * @param plan what was measured
+	 * @param calls calls on each way
+	 * @param failures calls that were not answered well, on both ways
+	 * @param direct latency straight to the target
+	 * @param routed latency through two nodes
+	 * @param entryCpuMicros processor time of the entry node for a call
+	 * @param homeCpuMicros processor time of the home node for a call
+	 */
+	public record Result(Plan plan, int calls, int failures, Micros direct, Micros routed, double entryCpuMicros,
+			double homeCpuMicros) {
+
+		/**
+		 * Returns the heading of the table.
+		 * @return one line
+		 */
+		public static String heading() {
+			return "calls/s   calls  failed  direct us p50/p99/p99.9    routed us p50/p99/p99.9     added us p50/p99/p99.9"
+					+ "   CPU us entry/home";
+		}
+
+		/**
+		 * Returns the result as a line of the table.
+		 * @return one line
+		 */
+		public String row() {
+			return "%7d  %6d  %6d  %7d/%7d/%7d  %7d/%7d/%7d  %7d/%7d/%7d  %7.0f/%6.0f".formatted(
+					this.plan.callsPerSecond, this.calls, this.failures, this.direct.p50, this.direct.p99,
+					this.direct.p999, this.routed.p50, this.routed.p99, this.routed.p999,
+					this.routed.p50 - this.direct.p50, this.routed.p99 - this.direct.p99,
+					this.routed.p999 - this.direct.p999, this.entryCpuMicros, this.homeCpuMicros);
+		}
+
+	}
+
+}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -153,8 +153,12 @@
 		long deadline = context.header("Request-Deadline-Millis").longValue(Long.MAX_VALUE);
 		String operation = context.path("operation").value();
 		int bodyLength = context.body().bytes().length;
+		long takes = takesMillis();
+		if (takes == 0) {
+			finish(context, id, operation, bodyLength, false);
+			return context;
+		}
 		return context.detach((detached) -> {
-			long takes = takesMillis();
 			this.timer.schedule(() -> finish(context, id, operation, bodyLength, takes > deadline),
 					Math.min(takes, deadline), TimeUnit.MILLISECONDS);
 			return context;
