--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/ErrorCatalogueTests.java
@@ -0,0 +1,40 @@
+package org.eelgrasspitch;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import org.eelgrasspitch.misc.ErrorType;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Compares the table of errors in the reference page with the code.
+ */
+public class ErrorCatalogueTests {
+
+	private static final Path PAGE = Path.of("..", "docs", "REFERENCE.md");
+
+	@Test
+	public void pageListsExactlyTheErrorsOfTheCode() throws IOException {
+		List<String> listed = Files.readAllLines(PAGE)
+			.stream()
+			.filter((line) -> line.matches("\\| \\d{3} \\| (error|warning) \\|.*"))
+			.toList();
+		List<String> expected = Arrays.stream(ErrorType.values())
+			.map((type) -> "| " + type.code() + " | " + type.severity().name().toLowerCase(Locale.ROOT) + " | "
+					+ type.template() + " |")
+			.toList();
+		Assert.assertEquals(listed, expected);
+	}
+
+	@Test
+	public void codesAreUnique() {
+		long distinct = Arrays.stream(ErrorType.values()).mapToInt(ErrorType::code).distinct().count();
+		Assert.assertEquals(distinct, ErrorType.values().length);
+	}
+
+}
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -115,7 +115,7 @@
 	private InetSocketAddress address(Fields fields, String key) {
 		String written = fields.text(key);
 		Optional<InetSocketAddress> address = Addresses.parse(written);
-		if (address.isEmpty() && fields.has(key)) {
+		if (address.isEmpty() && !written.isEmpty()) {
 			fields.report(ErrorType.BAD_ADDRESS, fields.position(key), written);
 		}
 		return address.orElse(NO_ADDRESS);
