--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/BurnPage.java
@@ -0,0 +1,53 @@
+package org.eelgrasspitch.cli;
+
+import java.util.List;
+
+/**
+ * Renders the burn report as a page that needs nothing else: a table, and for each
+ * operation two bars drawn as inline SVG. A bar ends at a burn rate of {@link #MAX_RATE};
+ * the line marks 1, at which the budget lasts exactly its period.
+ */
+final class BurnPage {
+
+	private static final double MAX_RATE = 10;
+
+	private static final int WIDTH = 300;
+
+	private static final int BAR_HEIGHT = 8;
+
+	private BurnPage() {
+	}
+
+	static String render(List<ReportCommand.Burn> burns) {
+		StringBuilder page = new StringBuilder("""
+				<!DOCTYPE html><html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title><style>
+				body{font-family:sans-serif;margin:2em}td,th{padding:.3em .8em;text-align:right}
+				td:first-child,th:first-child{text-align:left}tr:nth-child(even){background:#f4f4f4}
+				</style></head><body><h1>Service-level burn</h1><table><tr><th>operation</th><th>objective</th>
+				<th>good, 1 h</th><th>bad, 1 h</th><th>burn, 5 min</th><th>burn, 1 h</th><th>budget left, 1 h</th>
+				<th>5 min above, 1 h below; the line is 1</th></tr>
+				""");
+		burns.forEach((burn) -> page.append(row(burn)));
+		return page.append("</table></body></html>\n").toString();
+	}
+
+	private static String row(ReportCommand.Burn burn) {
+		return "<tr><td>%s</td><td>%.1f%%</td><td>%d</td><td>%d</td><td>%.2f</td><td>%.2f</td><td>%.0f%%</td><td>%s</td></tr>%n"
+			.formatted(burn.operation(), burn.objectivePerMille() / 10.0, burn.hour().good(), burn.hour().bad(),
+					burn.shortRate(), burn.longRate(), 100 * burn.budgetLeft(), bars(burn));
+	}
+
+	private static String bars(ReportCommand.Burn burn) {
+		int mark = x(1);
+		return """
+				<svg width="%d" height="%d" role="img" aria-label="burn rates"><rect width="%d" height="%d" fill="#c60"/>
+				<rect y="%d" width="%d" height="%d" fill="#069"/><line x1="%d" x2="%d" y2="%d" stroke="#000"/></svg>"""
+			.formatted(WIDTH, 2 * BAR_HEIGHT, x(burn.shortRate()), BAR_HEIGHT, BAR_HEIGHT, x(burn.longRate()),
+					BAR_HEIGHT, mark, mark, 2 * BAR_HEIGHT);
+	}
+
+	private static int x(double rate) {
+		return (int) (Math.min(rate, MAX_RATE) / MAX_RATE * WIDTH);
+	}
+
+}
--- a/cli/src/main/java/org/eelgrasspitch/cli/Fleet.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Fleet.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.node.BurnRow;
 import org.eelgrasspitch.node.StatusReport;
 import org.eelgrasspitch.testkit.Deployment;
 import org.eelgrasspitch.testkit.HttpCaller;
@@ -63,6 +64,12 @@
 			.map((answer) -> Json.read(answer.body(), StatusReport.class));
 	}
 
+	Optional<BurnRow[]> burn(InetSocketAddress address) {
+		return this.caller.get(address, "/burn")
+			.filter((answer) -> answer.status() == OK)
+			.map((answer) -> Json.read(answer.body(), BurnRow[].class));
+	}
+
 	@Override
 	public void close() {
 		this.caller.close();
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/ReportCommand.java
@@ -0,0 +1,128 @@
+package org.eelgrasspitch.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.node.BurnRow;
+import org.eelgrasspitch.request.BurnMeter;
+import org.eelgrasspitch.testkit.Json;
+
+/**
+ * Reports the service-level burn: for each operation its objective, good and bad
+ * requests, the burn rate over the last 5 minutes and the last hour, and what is left of
+ * the hour's error budget. Counts are added up over all nodes that answer.
+ */
+final class ReportCommand implements Command {
+
+	private static final String ROW = "%-32s %9s %10s %8s %11s %11s %10s%n";
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("report").help("report the service-level burn");
+		parser.description("Exit code 0: every node answered; 3: some did not, and are not in the report. "
+				+ "Example: eelgrasspitch report --deployment examples/ulaanbaatar --html burn.html");
+		Fleet.addArguments(parser);
+		parser.addArgument("--html").help("also write a page with bars to this file");
+		parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON object per operation");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		Map<String, Burn> burns = new TreeMap<>();
+		boolean complete = true;
+		try (Fleet fleet = Fleet.of(arguments)) {
+			for (InetSocketAddress address : fleet.addresses()) {
+				Optional<BurnRow[]> rows = fleet.burn(address);
+				complete &= rows.isPresent();
+				if (rows.isEmpty()) {
+					System.err.println(Addresses.format(address) + " does not answer");
+				}
+				for (BurnRow row : rows.orElse(new BurnRow[0])) {
+					burns.merge(row.service() + "/" + row.operation(), Burn.of(row), Burn::plus);
+				}
+			}
+		}
+		List<Burn> sorted = new ArrayList<>(burns.values());
+		print(sorted, arguments.getBoolean("json"));
+		String html = arguments.getString("html");
+		if (html != null && !write(Path.of(html), sorted)) {
+			return ExitCode.UNAVAILABLE;
+		}
+		return complete ? ExitCode.OK : ExitCode.UNAVAILABLE;
+	}
+
+	private static void print(List<Burn> burns, boolean json) {
+		if (json) {
+			burns.forEach((burn) -> System.out.println(Json.write(burn)));
+			return;
+		}
+		System.out.printf(ROW, "operation", "objective", "good 1h", "bad 1h", "burn 5 min", "burn 1 h", "budget 1h");
+		for (Burn burn : burns) {
+			System.out.printf(ROW, burn.operation(), burn.objectivePerMille() / 10.0 + "%", burn.hour().good(),
+					burn.hour().bad(), "%.2f".formatted(burn.shortRate()), "%.2f".formatted(burn.longRate()),
+					"%.0f%%".formatted(100 * burn.budgetLeft()));
+		}
+	}
+
+	private static boolean write(Path file, List<Burn> burns) {
+		try {
+			Files.writeString(file, BurnPage.render(burns));
+			return true;
+		}
+		catch (IOException ex) {
+			System.err.println("cannot write " + file + ": " + ex);
+			return false;
+		}
+	}
+
+	/**
+	 * The burn of one operation over all nodes.
+	 *
+	 * @param operation service and operation
+	 * @param objectivePerMille share that must be good, in thousandths
+	 * @param minutes requests of the last 5 minutes
+	 * @param hour requests of the last hour
+	 */
+	record Burn(String operation, int objectivePerMille, BurnMeter.Counts minutes, BurnMeter.Counts hour) {
+
+		static Burn of(BurnRow row) {
+			return new Burn(row.service() + "/" + row.operation(), row.objectivePerMille(),
+					new BurnMeter.Counts(row.shortGood(), row.shortBad()),
+					new BurnMeter.Counts(row.longGood(), row.longBad()));
+		}
+
+		Burn plus(Burn other) {
+			return new Burn(this.operation, Math.max(this.objectivePerMille, other.objectivePerMille),
+					this.minutes.plus(other.minutes), this.hour.plus(other.hour));
+		}
+
+		double shortRate() {
+			return this.minutes.burnRate(this.objectivePerMille);
+		}
+
+		double longRate() {
+			return this.hour.burnRate(this.objectivePerMille);
+		}
+
+		/**
+		 * Returns the part of the hour's error budget that is left, from 0 to 1.
+		 */
+		double budgetLeft() {
+			return Math.max(0, 1 - longRate());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/BurnLog.java
@@ -0,0 +1,53 @@
+package org.eelgrasspitch.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.eelgrasspitch.misc.TimeSource;
+import org.eelgrasspitch.request.BurnMeter;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.text.Operation;
+import org.eelgrasspitch.text.RouteKey;
+import org.eelgrasspitch.text.Snapshot;
+
+/**
+ * Records how callers' requests ended against the objectives of the text.
+ */
+final class BurnLog {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final TimeSource time;
+
+	/** Counts; guarded by its own lock. */
+	private final BurnMeter meter = new BurnMeter();
+
+	BurnLog(TimeSource time) {
+		this.time = time;
+	}
+
+	void ended(RouteKey route, CallOutcome outcome) {
+		boolean good = outcome instanceof CallOutcome.Answered answered && answered.status() < SERVER_ERROR;
+		synchronized (this.meter) {
+			this.meter.record(route, good, this.time.monotonicMillis());
+		}
+	}
+
+	List<BurnRow> rows(Snapshot snapshot) {
+		long now = this.time.monotonicMillis();
+		List<BurnRow> rows = new ArrayList<>();
+		synchronized (this.meter) {
+			snapshot.routes().forEach((key, route) -> rows.add(row(key, route.operation(), now)));
+		}
+		rows.sort(java.util.Comparator.comparing(BurnRow::service).thenComparing(BurnRow::operation));
+		return rows;
+	}
+
+	private BurnRow row(RouteKey key, Operation operation, long now) {
+		BurnMeter.Counts brief = this.meter.counts(key, BurnMeter.SHORT_MILLIS, now);
+		BurnMeter.Counts whole = this.meter.counts(key, BurnMeter.LONG_MILLIS, now);
+		return new BurnRow(key.service(), key.operation(), operation.objectivePerMille(), brief.good(), brief.bad(),
+				whole.good(), whole.bad());
+	}
+
+}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
@@ -160,6 +160,7 @@
 			this.entry.context()
 				.metrics()
 				.requestEnded(this.route.service().name(), this.route.operation().name(), truthful);
+			this.entry.context().burn().ended(this.request.route(), truthful);
 		}
 		this.reply.accept(new EntryReply.Ended(truthful, this.request.ticket().filter((ticket) -> isAtMostOnce()),
 				this.snapshot.version().revision()));
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -58,7 +58,7 @@
 		long now = time.monotonicMillis();
 		NodeState state = new NodeState(settings.pauseMillis(), now);
 		this.context = new NodeContext(settings, time, random.nextLong(1, Long.MAX_VALUE), now, state,
-				new NodeMetrics(), new EventLog(time));
+				new NodeMetrics(), new BurnLog(time), new EventLog(time));
 		Peer self = new Peer(settings.vm(), settings.failureDomain(), settings.advertisedAddress(),
 				this.context.incarnation());
 		FleetSettings fleet = FleetSettings.of(self, settings.seeds(), settings.distribution())
--- a/node/src/main/java/org/eelgrasspitch/node/NodeContext.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeContext.java
@@ -12,10 +12,11 @@
  * @param startedAt monotonic time at which the process started, in milliseconds
  * @param state what the control thread published
  * @param metrics counters
+ * @param burn how requests ended against their objectives
  * @param log the event log
  */
 record NodeContext(NodeSettings settings, TimeSource time, long incarnation, long startedAt, NodeState state,
-		NodeMetrics metrics, EventLog log) {
+		NodeMetrics metrics, BurnLog burn, EventLog log) {
 
 	private static final int EXIT_BROKEN_INVARIANT = 70;
 
--- a/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
+++ b/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.node;
 
+import java.util.List;
+
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
@@ -7,8 +9,8 @@
 import org.eelgrasspitch.fleet.FleetEvent;
 
 /**
- * The HTTP side for operators: {@code GET /status}, {@code GET /metrics} and
- * {@code POST /leave}.
+ * The HTTP side for operators: {@code GET /status}, {@code GET /metrics},
+ * {@code GET /burn} and {@code POST /leave}.
  */
 final class OperatorFront {
 
@@ -36,6 +38,11 @@
 			request.setResponseType(MediaType.text);
 			return request.send(context.metrics().exposition());
 		});
+		app.get("/burn", (request) -> {
+			List<BurnRow> rows = context.state().snapshot().map(context.burn()::rows).orElse(List.of());
+			HttpAnswers.json(request, OK, rows);
+			return request;
+		});
 		app.post("/leave", (request) -> {
 			control.post(new FleetEvent.LeaveRequested());
 			HttpAnswers.json(request, ACCEPTED, new Accepted("leaving"));
--- a/scenarios/src/test/resources/features/requests.feature
+++ b/scenarios/src/test/resources/features/requests.feature
@@ -57,3 +57,15 @@
     And the callers stop
     Then retries of all nodes were at most 10 percent of requests
     And every answered payment ran, and no refused request did
+
+  Scenario: Overload sheds lookups before payments, and ends with the load
+    Given a mesh of 6 nodes in 3 failure domains
+    And requests take 100 ms
+    And 120 callers look up and 15 callers pay as fast as they can
+    And 8 seconds pass
+    When the callers stop
+    Then at least 90 percent of payments were answered
+    And at least 100 lookups were shed
+    And every answered payment ran, and no refused request did
+    And every answer belonged to its own request and was whole
+    And 5 lookups of renewals through every node of fd-1 are answered
