--- a/testkit/src/main/java/org/eelgrasspitch/testkit/BrokenTarget.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/BrokenTarget.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -17,6 +18,10 @@
 
 	private static final int BACKLOG = 100;
 
+	private static final long BIND_MILLIS = 10_000;
+
+	private static final long BIND_PAUSE_MILLIS = 50;
+
 	private static final int BUFFER_BYTES = 65_536;
 
 	private final ServerSocket server;
@@ -29,12 +34,7 @@
 	 * @param address where it listens
 	 */
 	public BrokenTarget(InetSocketAddress address) {
-		try {
-			this.server = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		this.server = bind(address);
 		Thread thread = new Thread(this::accept, "broken-target");
 		thread.setDaemon(true);
 		thread.start();
@@ -58,6 +58,24 @@
 		}
 	}
 
+	/**
+	 * Binds an address that a target which was just closed may still hold for a moment.
+	 */
+	private static ServerSocket bind(InetSocketAddress address) {
+		long giveUpAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_MILLIS);
+		while (true) {
+			try {
+				return new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
+			}
+			catch (IOException ex) {
+				if (System.nanoTime() > giveUpAt) {
+					throw new UncheckedIOException(ex);
+				}
+				Cluster.sleep(BIND_PAUSE_MILLIS);
+			}
+		}
+	}
+
 	private void accept() {
 		while (!this.server.isClosed()) {
 			try (Socket socket = this.server.accept()) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/LoadGenerator.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/LoadGenerator.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.testkit;
 
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -195,15 +196,28 @@
 	}
 
 	private void check(String id, HttpCaller.CallAnswer got) {
-		TargetStandIn.Answer answer = Json.read(got.body(), TargetStandIn.Answer.class);
-		if (!id.equals(answer.requestId()) || !got.requestId().orElse("").equals(id)) {
-			this.violations.add(id + ": got the answer to " + answer.requestId());
+		Optional<TargetStandIn.Answer> answer = parse(got.body());
+		if (answer.isEmpty()) {
+			this.violations.add(id + ": got an answer that is not whole");
+			return;
+		}
+		if (!id.equals(answer.get().requestId()) || !got.requestId().orElse("").equals(id)) {
+			this.violations.add(id + ": got the answer to " + answer.get().requestId());
 		}
 		if (got.version().isEmpty()) {
 			this.violations.add(id + ": answer without a configuration version");
 		}
 	}
 
+	private static Optional<TargetStandIn.Answer> parse(byte[] body) {
+		try {
+			return Optional.of(Json.read(body, TargetStandIn.Answer.class));
+		}
+		catch (UncheckedIOException ex) {
+			return Optional.empty();
+		}
+	}
+
 	private void count(Flow flow, String outcome) {
 		this.outcomes
 			.computeIfAbsent(flow.service() + "/" + flow.operation() + " " + outcome, (name) -> new AtomicInteger())
