Give the target stand-in cancellation, a limit of connections and a lagging health

Cause: three points of the stand-in were missing: cancellation, connections, and endpoints that lag. Change: a running request can be cancelled and ends at once; a connection carries one request at a time; health notices draining after a set lag, and load can lie.

--- a/cli/src/main/java/org/eelgrasspitch/cli/TargetStandInCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/TargetStandInCommand.java
@@ -20,6 +20,7 @@
 		parser.addArgument("--address").required(true).help("where to listen, IP:port");
 		parser.addArgument("--name").required(true).help("name of the VM");
 		parser.addArgument("--slots").type(Integer.class).setDefault(10).help("requests it works on at a time");
+		parser.addArgument("--connections").type(Integer.class).setDefault(100).help("connections it accepts");
 		parser.addArgument("--service-millis").type(Long.class).setDefault(5L).help("time that a request takes");
 		parser.addArgument("--cold-millis").type(Long.class).setDefault(0L).help("time it takes to warm up");
 	}
@@ -28,7 +29,8 @@
 	public int run(Namespace arguments) {
 		TargetStandIn.Options options = new TargetStandIn.Options(arguments.getString("name"),
 				Addresses.parse(arguments.getString("address")).orElseThrow(), arguments.getInt("slots"),
-				arguments.getLong("service_millis"), arguments.getLong("cold_millis"), 0);
+				arguments.getInt("connections"), arguments.getLong("service_millis"), arguments.getLong("cold_millis"),
+				0);
 		return Forever
 			.serve(new TargetStandIn(options, TargetStandIn.newExecutions(), () -> Runtime.getRuntime().halt(CRASHED)));
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -37,6 +37,9 @@
 
 	private static final int FIRST_OCTET = 110;
 
+	/** Connections that a target accepts, as in the texts that the scenarios publish. */
+	private static final int CONNECTIONS = 100;
+
 	private static final int LAST_OCTET = 200;
 
 	/** Second number of the next scenario's addresses; each scenario uses its own. */
@@ -112,7 +115,7 @@
 	void startTarget(String vm) {
 		Map<String, Integer> record = this.executions.computeIfAbsent(vm, (name) -> TargetStandIn.newExecutions());
 		TargetStandIn.Options options = new TargetStandIn.Options(vm,
-				this.cluster.deployment().member(vm).settings().targetAddress(), this.slots, 2, 0, 0);
+				this.cluster.deployment().member(vm).settings().targetAddress(), this.slots, CONNECTIONS, 2, 0, 0);
 		this.targets.put(vm, this.closer.register(new TargetStandIn(options, record, () -> {
 		})));
 	}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/HttpCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/HttpCaller.java
@@ -94,6 +94,27 @@
 		return send(request(server, path).post(EMPTY).build());
 	}
 
+	/**
+	 * Sends a POST request without a body under an identifier.
+	 * @param server the server
+	 * @param path path and query
+	 * @param requestId the request's identifier
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> post(InetSocketAddress server, String path, String requestId) {
+		return send(request(server, path).post(EMPTY).header("Request-Id", requestId).build());
+	}
+
+	/**
+	 * Sends a DELETE request.
+	 * @param server the server
+	 * @param path path and query
+	 * @return the answer, or empty when there was none
+	 */
+	public Optional<CallAnswer> delete(InetSocketAddress server, String path) {
+		return send(request(server, path).delete().build());
+	}
+
 	/**
 	 * Sends a PUT request.
 	 * @param server the server
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/SelfCheck.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/SelfCheck.java
@@ -48,9 +48,10 @@
 				.register(new PlatformStandIn(Addresses.parse("127.99.0.1:7000").orElseThrow()));
 			platform.publish(Channel.VMS, VMS.getBytes(StandardCharsets.UTF_8));
 			platform.publish(Channel.TEXT, TEXT.getBytes(StandardCharsets.UTF_8));
-			closer.register(new TargetStandIn(new TargetStandIn.Options("self", settings.targetAddress(), 2, 1, 0, 0),
-					TargetStandIn.newExecutions(), () -> {
-					}));
+			closer
+				.register(new TargetStandIn(new TargetStandIn.Options("self", settings.targetAddress(), 2, 2, 1, 0, 0),
+						TargetStandIn.newExecutions(), () -> {
+						}));
 			closer.register(Node.start(settings));
 			HttpCaller caller = closer.register(new HttpCaller(START_MILLIS));
 			return Cluster.eventually(START_MILLIS, () -> isAnswered(caller, settings));
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.jooby.Context;
@@ -24,8 +26,10 @@
  * request started.
  * <p>
  * A request takes the service time, longer while the target is cold. Above its slots it
- * sheds, with status 503 and {@code Request-Ran: no}; likewise while draining. A request
- * with the header {@code Crash-Target: yes} starts and then crashes the target.
+ * sheds, with status 503 and {@code Request-Ran: no}; likewise while draining and above
+ * its connections, each of which carries one request at a time. {@code DELETE
+ * /-/requests/{id}} cancels a running request, which then ends at once. A request with
+ * the header {@code Crash-Target: yes} starts and then crashes the target.
  */
 public final class TargetStandIn implements AutoCloseable {
 
@@ -55,8 +59,20 @@
 	/** Starts by request identifier; guarded by its own lock. */
 	private final Map<String, Integer> executions;
 
+	/** How to end each running request, by its identifier. */
+	private final Map<String, Runnable> cancellations = new ConcurrentHashMap<>();
+
 	private volatile boolean draining;
 
+	/** When draining was last switched, in nanoseconds. */
+	private volatile long drainingSwitchedAt;
+
+	/** Time after which the health endpoint notices that draining was switched. */
+	private volatile long healthLagMillis;
+
+	/** What the load endpoint says; empty for the truth. */
+	private volatile String loadLie = "";
+
 	private volatile long serviceMillis;
 
 	private volatile String healthLie = "";
@@ -76,9 +92,10 @@
 		this.closer.register(this.timer::shutdownNow);
 		Jooby app = new Jooby();
 		app.get("/health", (context) -> text(context, OK, health()));
-		app.get("/load", (context) -> text(context, OK, this.running.get() + "/" + options.slots()));
+		app.get("/load", (context) -> text(context, OK, load()));
 		app.get("/-/executions", (context) -> text(context, OK, Json.write(executionList())));
 		app.post("/-/faults", this::faults);
+		app.delete("/-/requests/{id}", this::cancel);
 		app.post("/{operation}", this::run);
 		this.closer.register(new StandInServer(app, options.address()));
 	}
@@ -96,6 +113,7 @@
 	 * @param on true to refuse new work
 	 */
 	public void drain(boolean on) {
+		this.drainingSwitchedAt = System.nanoTime();
 		this.draining = on;
 	}
 
@@ -139,7 +157,8 @@
 			context.setResponseHeader("Target-State", "leaving");
 			return refuse(context);
 		}
-		if (this.running.incrementAndGet() > this.options.slots()) {
+		int limit = Math.min(this.options.slots(), this.options.connections());
+		if (this.running.incrementAndGet() > limit) {
 			this.running.decrementAndGet();
 			return refuse(context);
 		}
@@ -159,12 +178,34 @@
 			return context;
 		}
 		return context.detach((detached) -> {
-			this.timer.schedule(() -> finish(context, id, operation, bodyLength, takes > deadline),
+			AtomicBoolean ended = new AtomicBoolean();
+			this.cancellations.put(id, () -> end(ended, context, id, operation, bodyLength, true));
+			this.timer.schedule(() -> end(ended, context, id, operation, bodyLength, takes > deadline),
 					Math.min(takes, deadline), TimeUnit.MILLISECONDS);
 			return context;
 		});
 	}
 
+	private void end(AtomicBoolean ended, Context context, String id, String operation, int bodyLength,
+			boolean abandoned) {
+		if (ended.compareAndSet(false, true)) {
+			this.cancellations.remove(id);
+			finish(context, id, operation, bodyLength, abandoned);
+		}
+	}
+
+	private Object cancel(Context context) {
+		Runnable cancellation = this.cancellations.get(context.path("id").value());
+		if (cancellation != null) {
+			cancellation.run();
+		}
+		return text(context, OK, (cancellation != null) ? "cancelled" : "not running");
+	}
+
+	private String load() {
+		return this.loadLie.isEmpty() ? this.running.get() + "/" + this.options.slots() : this.loadLie;
+	}
+
 	private void finish(Context context, String id, String operation, int bodyLength, boolean abandoned) {
 		this.running.decrementAndGet();
 		context.setResponseHeader("Request-Id", id);
@@ -185,13 +226,19 @@
 		if (!this.healthLie.isEmpty()) {
 			return this.healthLie;
 		}
-		return this.draining ? "draining" : "ok";
+		long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.drainingSwitchedAt);
+		boolean noticed = age >= this.healthLagMillis;
+		return (this.draining == noticed) ? "draining" : "ok";
 	}
 
 	private Object faults(Context context) {
 		context.query("drain").toOptional().ifPresent((on) -> drain(Boolean.parseBoolean(on)));
 		context.query("serviceMillis").toOptional().ifPresent((millis) -> serviceMillis(Long.parseLong(millis)));
 		context.query("health").toOptional().ifPresent((lie) -> this.healthLie = lie);
+		context.query("load").toOptional().ifPresent((lie) -> this.loadLie = lie);
+		context.query("healthLagMillis")
+			.toOptional()
+			.ifPresent((millis) -> this.healthLagMillis = Long.parseLong(millis));
 		return text(context, OK, Integer.toString(receivedWhileDraining()));
 	}
 
@@ -212,13 +259,14 @@
 	 * @param name name of its VM
 	 * @param address where it listens
 	 * @param slots requests it works on at a time
+	 * @param connections connections it accepts
 	 * @param serviceMillis time that a request takes, in milliseconds
 	 * @param coldMillis time after the start during which requests take longer, in
 	 * milliseconds
 	 * @param answerPadding bytes added to each answer
 	 */
-	public record Options(String name, InetSocketAddress address, int slots, long serviceMillis, long coldMillis,
-			int answerPadding) {
+	public record Options(String name, InetSocketAddress address, int slots, int connections, long serviceMillis,
+			long coldMillis, int answerPadding) {
 
 	}
 
