Share the health request, the empty cancellation and the callers' port

Cause: a read of the whole change found two copies of the request to the target's health endpoint, three empty cancellations, and three copies of the look-up of a node's callers' port in step classes. Change: one piece each; behaviour and assertions as they were.

--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -32,6 +32,10 @@
 
 	private static final int QUEUE_PER_SLOT = 2;
 
+	/** What a request that was ended before it started gives to its sender. */
+	private static final Runnable NOTHING_TO_CANCEL = () -> {
+	};
+
 	private final NodeContext context;
 
 	private final TargetClient target;
@@ -77,14 +81,12 @@
 		}
 		if (isQuarantined(request)) {
 			reply.accept(new CallOutcome.Unknown(Reason.QUARANTINED));
-			return () -> {
-			};
+			return NOTHING_TO_CANCEL;
 		}
 		Work work = new Work(request, route.get(), now() + request.remainingMillis(), reply);
 		boolean atMostOnce = route.get().operation().kind() == OperationKind.AT_MOST_ONCE;
 		if (atMostOnce && !this.records.claim(request, reply)) {
-			return () -> {
-			};
+			return NOTHING_TO_CANCEL;
 		}
 		start(work);
 		return () -> {
@@ -250,8 +252,7 @@
 
 	private Runnable refuse(Consumer<CallOutcome> reply, Reason reason) {
 		reply.accept(refused(reason));
-		return () -> {
-		};
+		return NOTHING_TO_CANCEL;
 	}
 
 	private long now() {
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -102,9 +102,7 @@
 	 * @param callback receives true when the target says so
 	 */
 	void probe(Consumer<Boolean> callback) {
-		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
-		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-		call.enqueue(new Callback() {
+		askHealth(new Callback() {
 			@Override
 			public void onFailure(Call failed, IOException cause) {
 				// No word from the target is no evidence of draining.
@@ -125,9 +123,7 @@
 	 * @param alive called when it does not, or when that cannot be told
 	 */
 	void ifDead(Runnable dead, Runnable alive) {
-		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
-		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-		call.enqueue(new Callback() {
+		askHealth(new Callback() {
 			@Override
 			public void onFailure(Call failed, IOException cause) {
 				if (cause instanceof ConnectException) {
@@ -151,6 +147,12 @@
 		this.client.connectionPool().evictAll();
 	}
 
+	private void askHealth(Callback callback) {
+		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
+		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		call.enqueue(callback);
+	}
+
 	private HttpUrl url(String path) {
 		return new HttpUrl.Builder().scheme("http").host(this.host).port(this.port).addPathSegment(path).build();
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
@@ -176,7 +176,7 @@
 	@When("a caller sends a lookup that crashes its target through node {word}")
 	public void crash(String vm) {
 		CallSpec spec = new CallSpec("renewals", "read", "deadly-1", Optional.empty(), 1, new byte[] { 1 }, true);
-		this.crashAnswers.add(this.world.caller().call(callerPort(vm), spec));
+		this.crashAnswers.add(this.world.caller().call(this.world.callerPort(vm), spec));
 	}
 
 	@Then("at most {int} targets have crashed")
@@ -227,7 +227,7 @@
 	}
 
 	private void startLoad(List<LoadGenerator.Flow> flows) {
-		List<InetSocketAddress> nodes = this.world.cluster().vms().stream().map(this::callerPort).toList();
+		List<InetSocketAddress> nodes = this.world.cluster().vms().stream().map(this.world::callerPort).toList();
 		this.load = new LoadGenerator(nodes, flows, CALLER_TIMEOUT_MILLIS);
 		this.load.start(SEED);
 	}
@@ -247,8 +247,4 @@
 		this.world.links().heal();
 	}
 
-	private InetSocketAddress callerPort(String vm) {
-		return this.world.cluster().deployment().member(vm).settings().callerAddress();
-	}
-
 }
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/RequestSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/RequestSteps.java
@@ -55,7 +55,7 @@
 	@Given("a caller holds a ticket that node {word} issued")
 	public void ticketFrom(String vm) {
 		for (int attempt = 0; attempt < 100; attempt++) {
-			List<String> tickets = this.caller.tickets(callerPort(vm), "renewals", "pay", 1);
+			List<String> tickets = this.caller.tickets(this.world.callerPort(vm), "renewals", "pay", 1);
 			Optional<Ticket> parsed = tickets.stream().findFirst().flatMap(Ticket::parse);
 			if (parsed.filter((issued) -> issued.home().equals(vm)).isPresent()) {
 				this.ticket = parsed.get();
@@ -156,7 +156,7 @@
 	private CompletableFuture<Optional<CallAnswer>> send(String vm) {
 		CallSpec attempt = this.payment;
 		this.payment = this.payment.again();
-		InetSocketAddress node = callerPort(vm);
+		InetSocketAddress node = this.world.callerPort(vm);
 		CompletableFuture<Optional<CallAnswer>> answer = CompletableFuture.supplyAsync(() -> {
 			long sentAt = System.nanoTime();
 			Optional<CallAnswer> got = this.caller.call(node, attempt);
@@ -168,15 +168,11 @@
 	}
 
 	private Optional<CallAnswer> ask(String vm) {
-		return this.caller.get(callerPort(vm), "/-/outcomes/" + this.ticket.written());
+		return this.caller.get(this.world.callerPort(vm), "/-/outcomes/" + this.ticket.written());
 	}
 
 	private Optional<CallAnswer> answer(int number) {
 		return this.answers.get(number - 1).join();
 	}
 
-	private InetSocketAddress callerPort(String vm) {
-		return this.world.cluster().deployment().member(vm).settings().callerAddress();
-	}
-
 }
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
@@ -1,6 +1,5 @@
 package org.eelgrasspitch.scenarios;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -9,7 +8,6 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
-import org.eelgrasspitch.node.NodeSettings;
 import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.HttpCaller;
 import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
@@ -45,7 +43,7 @@
 
 	@When("a caller asks node {word} for {word} of {word}")
 	public void call(String vm, String operation, String service) {
-		this.answer = this.world.caller().call(callerPort(vm), CallSpec.of(service, operation, "request-1"));
+		this.answer = this.world.caller().call(this.world.callerPort(vm), CallSpec.of(service, operation, "request-1"));
 	}
 
 	@Then("the caller gets the whole answer to its own request")
@@ -124,7 +122,8 @@
 		for (String vm : vms) {
 			for (int index = 0; index < count; index++) {
 				String id = vm + "-" + index;
-				Optional<CallAnswer> got = this.world.caller().call(callerPort(vm), CallSpec.of(service, "read", id));
+				Optional<CallAnswer> got = this.world.caller()
+					.call(this.world.callerPort(vm), CallSpec.of(service, "read", id));
 				if (got.filter((response) -> response.status() == 200).isEmpty()) {
 					failed.add(id + ": " + got.map(HttpCaller.CallAnswer::status));
 				}
@@ -146,9 +145,4 @@
 		Assert.assertTrue(open.isEmpty(), open + " do not hold revision " + latest);
 	}
 
-	private InetSocketAddress callerPort(String vm) {
-		NodeSettings settings = this.world.cluster().deployment().member(vm).settings();
-		return settings.callerAddress();
-	}
-
 }
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -212,6 +213,10 @@
 		return this.links;
 	}
 
+	InetSocketAddress callerPort(String vm) {
+		return this.cluster.deployment().member(vm).settings().callerAddress();
+	}
+
 	HttpCaller caller() {
 		return this.cluster.control();
 	}
