Read every node's routes while services are renamed and removed

Cause: the row "no route points at a missing resource" rested on construction and on mutated texts; no run watched nodes while the graph of services changed.

--- a/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
+++ b/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
@@ -9,8 +9,8 @@
 import org.eelgrasspitch.fleet.FleetEvent;
 
 /**
- * The HTTP side for operators: {@code GET /status}, {@code GET /metrics},
- * {@code GET /burn} and {@code POST /leave}.
+ * The HTTP side for operators: {@code GET /status}, {@code GET /routes},
+ * {@code GET /metrics}, {@code GET /burn} and {@code POST /leave}.
  */
 final class OperatorFront {
 
@@ -34,6 +34,10 @@
 		Jooby app = new Jooby();
 		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		app.get("/status", (request) -> status(context, control, home, request));
+		app.get("/routes", (request) -> {
+			HttpAnswers.json(request, OK, RouteReport.of(context.state().snapshot()));
+			return request;
+		});
 		app.get("/metrics", (request) -> {
 			request.setResponseType(MediaType.text);
 			return request.send(context.metrics().exposition());
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -136,6 +136,23 @@
 		return this.latest;
 	}
 
+	/**
+	 * Publishes a text in which the first service depends on another, on the same under a
+	 * new name, or on nothing because the other is gone.
+	 */
+	void publishShape(Shape shape) {
+		this.slots++;
+		String whole = new String(this.writer.text(this.slots, 0, 0), StandardCharsets.UTF_8).replaceFirst("\"slots\"",
+				"\"dependsOn\": [\"archive\"], \"slots\"");
+		DeploymentWriter alone = new DeploymentWriter(this.writer.octet(), this.writer.failureDomains(),
+				List.of("renewals"), this.writer.nodes(), true, "");
+		this.latest = publish(switch (shape) {
+			case WHOLE -> whole.getBytes(StandardCharsets.UTF_8);
+			case RENAMED -> whole.replace("\"archive\"", "\"registry\"").getBytes(StandardCharsets.UTF_8);
+			case REMOVED -> alone.text(this.slots, 0, 0);
+		});
+	}
+
 	void publishBad(byte[] text) {
 		this.badRevision = publish(text);
 	}
@@ -291,4 +308,20 @@
 		this.closer.close();
 	}
 
+	/**
+	 * What a text says of the second service.
+	 */
+	enum Shape {
+
+		/** It is there, and the first depends on it. */
+		WHOLE,
+
+		/** It has another name, in its definition and in the dependency. */
+		RENAMED,
+
+		/** It is gone, and the dependency with it. */
+		REMOVED
+
+	}
+
 }
--- a/scenarios/src/test/resources/features/configuration.feature
+++ b/scenarios/src/test/resources/features/configuration.feature
@@ -148,3 +148,14 @@
     And the operators publish 10 changes within a second
     Then within 13 seconds every node holds the latest revision
     And no node ever moved back
+
+  Scenario: Services are renamed and removed under load, a death and a pause
+    Given a mesh of 6 nodes in 3 failure domains
+    And callers look up and pay all the time
+    When the operators rename, remove and restore a service 30 times while a node dies and another sleeps
+    And the callers stop
+    Then no node ever had a route to a service that it lacked
+    And every answered payment ran, and no refused request did
+    And every answer belonged to its own request and was whole
+    And within 13 seconds every node holds the latest revision
+    And no node ever moved back
