Let one reader of a failure domain watch the text for both

Cause: both readers of a failure domain kept a watch on the text and read it whole at each change; at a text of 1 MB that is 19 KB/s for each of the two.

Ruled out: one reader only (its silence takes 5 s to notice and then a pull from scratch); watching without reading (the platform's watch returns the value).

Change: the second reader leaves the text to the first while its evidence is younger than 8 s; evidence carries its age, so a first reader that lost the platform, or is a hearsay chain, does not keep the second asleep. Both still watch the VM list.

--- a/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -53,6 +53,10 @@
 		parser.addArgument("--failure-domains").type(Integer.class).setDefault(3).help("number of failure domains");
 		parser.addArgument("--services").type(Integer.class).setDefault(26).help("number of services");
 		parser.addArgument("--operations").type(Integer.class).setDefault(60).help("further operations of a service");
+		parser.addArgument("--name-length")
+			.type(Integer.class)
+			.setDefault(40)
+			.help("length of their names, which makes the text longer");
 		parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON lines");
 	}
 
@@ -88,7 +92,7 @@
 		for (Integer nodes : arguments.<Integer>getList("nodes")) {
 			for (String distribution : arguments.<String>getList("distribution")) {
 				ConfigMeasurement.Plan plan = new ConfigMeasurement.Plan(nodes, arguments.getInt("failure_domains"),
-						arguments.getInt("services"), arguments.getInt("operations"), 40,
+						arguments.getInt("services"), arguments.getInt("operations"), arguments.getInt("name_length"),
 						Distribution.valueOf(distribution.toUpperCase(Locale.ROOT)), octet++);
 				ConfigMeasurement.Result result = ConfigMeasurement.run(plan, directory(), System.err);
 				results.add(result);
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -19,11 +19,12 @@
  * time may use it.
  * <p>
  * <b>How documents travel.</b> In each failure domain {@link ReaderRanking} names two
- * readers, which watch the platform. Every node keeps a link to the readers of its
- * failure domain, and each reader also to one reader of every other failure domain.
- * Whoever accepts a version tells the peers on its links that hold less; they pull the
- * parts that they lack. A change so reaches a node in two steps, and a failure domain
- * that is cut off from the platform still learns through its neighbours.
+ * readers. The first watches the platform; the second watches the VM list, and the text
+ * only when it has no recent word that anybody asked for it. Every node keeps a link to
+ * the readers of its failure domain, and each reader also to one reader of every other
+ * failure domain. Whoever accepts a version tells the peers on its links that hold less;
+ * they pull the parts that they lack. A change so reaches a node in two steps, and a
+ * failure domain that is cut off from the platform still learns through its neighbours.
  * <p>
  * <b>Which version is held</b> is decided by {@link VersionKeeper}. When a process starts
  * it first asks peers what they hold and only then takes a text, because the platform may
@@ -204,12 +205,21 @@
 
 	private void watch(Channel channel, long waitMillis, long now) {
 		long seen = keeper(channel).seenRevision();
-		if (channel == Channel.TEXT && this.candidate != null) {
+		if (channel == Channel.TEXT && (this.candidate != null || mayRest(now))) {
 			return;
 		}
 		this.platform.tryCall(channel, seen, (seen > 0) ? waitMillis : 0, now).ifPresent(this.effects::add);
 	}
 
+	/**
+	 * Tells whether the second reader may leave the text to the first: while it learns
+	 * from it, or from anybody else, that the platform was asked a short time ago.
+	 */
+	private boolean mayRest(long now) {
+		long age = this.life.evidenceAgeMillis(now);
+		return this.topology.isStandby(now) && age >= 0 && age < this.settings.standbyMillis();
+	}
+
 	private void served(FleetEvent.PlatformServed served, long now) {
 		if (!this.platform.answered(served.channel(), served.sequence())) {
 			return;
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
@@ -22,11 +22,13 @@
  * @param textWatchMillis longest wait of a watch on the text
  * @param vmsWatchMillis longest wait of a watch on the VM list
  * @param pullMillis longest wait for the answer to a pull
+ * @param standbyMillis age of the evidence from which the second reader of a failure
+ * domain watches the text as well
  */
 public record FleetSettings(Peer self, List<InetSocketAddress> seeds, Distribution distribution,
 		double platformCallsPerSecond, long tickMillis, long pauseMillis, long startMillis, long confirmMillis,
 		long evidenceMillis, long heartbeatMillis, long silenceMillis, long textWatchMillis, long vmsWatchMillis,
-		long pullMillis) {
+		long pullMillis, long standbyMillis) {
 
 	/** Share of the platform's 2,000 calls a second that a fleet takes by default. */
 	public static final double DEFAULT_PLATFORM_CALLS_PER_SECOND = 200;
@@ -40,7 +42,7 @@
 	 */
 	public static FleetSettings of(Peer self, List<InetSocketAddress> seeds, Distribution distribution) {
 		return new FleetSettings(self, List.copyOf(seeds), distribution, DEFAULT_PLATFORM_CALLS_PER_SECOND, 100, 1_000,
-				1_500, 800, 15_000, 2_000, 5_000, 5_000, 10_000, 3_000);
+				1_500, 800, 15_000, 2_000, 5_000, 5_000, 10_000, 3_000, 8_000);
 	}
 
 	/**
@@ -51,7 +53,7 @@
 	public FleetSettings withPlatformCalls(double callsPerSecond) {
 		return new FleetSettings(this.self, this.seeds, this.distribution, callsPerSecond, this.tickMillis,
 				this.pauseMillis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
 	}
 
 	/**
@@ -62,7 +64,7 @@
 	public FleetSettings withPauseMillis(long millis) {
 		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
 				millis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
 	}
 
 	/**
@@ -73,7 +75,7 @@
 	public FleetSettings withStartMillis(long millis) {
 		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
 				this.pauseMillis, millis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis);
+				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/Topology.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Topology.java
@@ -95,6 +95,17 @@
 		return fire(RoleEvent.NOTHING_HEARD).orElse(List.of());
 	}
 
+	/**
+	 * Tells whether this node is a reader with another usable reader before it in its
+	 * failure domain.
+	 * @param now current monotonic time in milliseconds
+	 * @return true when the other one watches the text for both
+	 */
+	boolean isStandby(long now) {
+		return this.role == RoleState.READER && !isPolling()
+				&& !readers(self().failureDomain(), now).get(0).name().equals(self().vm());
+	}
+
 	/**
 	 * Computes the addresses to which this node should keep links.
 	 * @param starting true while peers must be asked before the first text is taken
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/FaultSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/FaultSteps.java
@@ -17,6 +17,9 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
+	/** Time in which a reader that is between two watches begins the next. */
+	private static final long WATCH_NANOS = 2_000_000_000;
+
 	private final World world = Worlds.current();
 
 	/** Platform calls when the present count began. */
@@ -52,6 +55,24 @@
 		this.world.vmsOf(failureDomain).forEach((vm) -> this.world.platform().cut(vm, true));
 	}
 
+	@When("the reader of {word} that watches the text is cut off from the platform")
+	public void cutWatcher(String failureDomain) {
+		long giveUpAt = System.nanoTime() + WATCH_NANOS;
+		List<String> watching = watching(failureDomain);
+		while (watching.isEmpty() && System.nanoTime() < giveUpAt) {
+			watching = watching(failureDomain);
+		}
+		Assert.assertEquals(watching.size(), 1, "nodes of " + failureDomain + " that watch the text: " + watching);
+		this.world.platform().cut(watching.get(0), true);
+	}
+
+	private List<String> watching(String failureDomain) {
+		return this.world.vmsOf(failureDomain)
+			.stream()
+			.filter((vm) -> this.world.platform().isWatching(vm, Channel.TEXT))
+			.toList();
+	}
+
 	@When("{word} is cut off from the other failure domains")
 	public void cut(String failureDomain) {
 		this.world.cut(failureDomain, true);
--- a/scenarios/src/test/resources/features/configuration.feature
+++ b/scenarios/src/test/resources/features/configuration.feature
@@ -103,6 +103,17 @@
     And the operators publish a change
     Then within 13 seconds every node holds the latest revision
 
+  Scenario: The one reader that watches the text loses the platform in a failure domain that is cut off
+    Given a mesh of 9 nodes in 3 failure domains
+    And 8 seconds pass
+    When fd-3 is cut off from the other failure domains
+    And the reader of fd-3 that watches the text is cut off from the platform
+    And the operators publish a change
+    Then within 13 seconds every node holds the latest revision
+    When the network heals
+    Then within 10 seconds every node is serving
+    And no node ever moved back
+
   Scenario: A failure domain that is cut off from everything serves on and catches up
     Given a mesh of 6 nodes in 3 failure domains
     When fd-3 is cut off from the platform
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/PlatformStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/PlatformStandIn.java
@@ -165,6 +165,16 @@
 		return new Counts(List.copyOf(this.counts.values()), this.watches.size());
 	}
 
+	/**
+	 * Tells whether a reader has a watch that waits now.
+	 * @param reader name of the reader's VM
+	 * @param channel the document it watches
+	 * @return true while one waits
+	 */
+	public synchronized boolean isWatching(String reader, Channel channel) {
+		return this.watches.stream().anyMatch((watch) -> watch.channel() == channel && watch.reader().equals(reader));
+	}
+
 	@Override
 	public void close() {
 		this.closer.close();
