Check refusals when they arrive; run a chain of 12; add metrics, hints, an example

Cause: a trial that reported a lost connection to a home as "not run" passed the random faults. The load generator resends after "not run" and looked only at the last answer, so a lie in between was never compared with what had run.

Change: every refusal that says "not run" is compared with the targets' own records at the moment it arrives, in all scenarios under load. The settings key "guards" switches limits, priorities and paid retries off for comparison, and "measure overload" measures both.

--- a/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
@@ -10,6 +10,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.Hints;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.testkit.Json;
 import org.eelgrasspitch.text.TextTool;
@@ -42,7 +43,7 @@
 			return ExitCode.UNAVAILABLE;
 		}
 		for (Problem problem : listener.problems()) {
-			System.out.println(arguments.getBoolean("json") ? Json.write(Report.of(problem)) : file + ":" + problem);
+			System.out.println(arguments.getBoolean("json") ? Json.write(Report.of(problem)) : line(file, problem));
 		}
 		if (listener.hasErrors()) {
 			return ExitCode.FAILED;
@@ -53,6 +54,11 @@
 		return ExitCode.OK;
 	}
 
+	private static String line(Path file, Problem problem) {
+		String hint = Hints.of(problem.type());
+		return file + ":" + problem + (hint.isEmpty() ? "" : System.lineSeparator() + "  hint: " + hint);
+	}
+
 	private static String digest(byte[] content) {
 		return TextTool.text(1, content).map((checked) -> checked.version().digest().hex()).getOrElse("");
 	}
@@ -65,12 +71,14 @@
 	 * @param code code of the error
 	 * @param severity severity in lower case
 	 * @param message what is wrong
+	 * @param hint what to do about it; empty when the message says it all
 	 */
-	record Report(int line, int column, int code, String severity, String message) {
+	record Report(int line, int column, int code, String severity, String message, String hint) {
 
 		static Report of(Problem problem) {
 			return new Report(problem.position().line(), problem.position().column(), problem.type().code(),
-					problem.type().severity().name().toLowerCase(Locale.ROOT), problem.message());
+					problem.type().severity().name().toLowerCase(Locale.ROOT), problem.message(),
+					Hints.of(problem.type()));
 		}
 
 	}
--- a/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -13,8 +13,10 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.request.Guards;
 import org.eelgrasspitch.testkit.ConfigMeasurement;
 import org.eelgrasspitch.testkit.Json;
+import org.eelgrasspitch.testkit.OverloadMeasurement;
 import org.eelgrasspitch.testkit.RequestMeasurement;
 
 /**
@@ -31,15 +33,20 @@
 				+ "Example: eelgrasspitch measure --nodes 12 24 --distribution parts whole poll");
 		parser.addArgument("subject")
 			.nargs("?")
-			.choices("config", "requests")
+			.choices("config", "requests", "overload")
 			.setDefault("config")
-			.help("changes of the configuration, or the time that nodes add to requests");
+			.help("changes of the configuration, the time that nodes add to requests, or twice the capacity");
 		parser.addArgument("--calls")
 			.type(Integer.class)
 			.nargs("+")
 			.setDefault(List.of(67, 670))
 			.help("calls a second");
 		parser.addArgument("--seconds").type(Integer.class).setDefault(20).help("length of a measurement of requests");
+		parser.addArgument("--guards")
+			.nargs("+")
+			.choices("all", "none")
+			.setDefault(List.of("all", "none"))
+			.help("with the policies against overload, or without them");
 		parser.addArgument("--nodes")
 			.type(Integer.class)
 			.nargs("+")
@@ -62,7 +69,11 @@
 
 	@Override
 	public int run(Namespace arguments) {
-		return arguments.getString("subject").equals("config") ? config(arguments) : requests(arguments);
+		return switch (arguments.getString("subject")) {
+			case "requests" -> requests(arguments);
+			case "overload" -> overload(arguments);
+			default -> config(arguments);
+		};
 	}
 
 	private static int requests(Namespace arguments) {
@@ -85,6 +96,25 @@
 		return ExitCode.OK;
 	}
 
+	private static int overload(Namespace arguments) {
+		boolean json = arguments.getBoolean("json");
+		List<OverloadMeasurement.Result> results = new ArrayList<>();
+		int octet = FIRST_OCTET;
+		for (String guards : arguments.<String>getList("guards")) {
+			OverloadMeasurement.Result result = OverloadMeasurement.run(Guards.valueOf(guards.toUpperCase(Locale.ROOT)),
+					octet++, directory(), System.err);
+			results.add(result);
+			if (json) {
+				System.out.println(Json.write(result));
+			}
+		}
+		if (!json) {
+			System.out.println(OverloadMeasurement.Result.heading());
+			results.forEach((result) -> System.out.println(result.rows()));
+		}
+		return ExitCode.OK;
+	}
+
 	private static int config(Namespace arguments) {
 		boolean json = arguments.getBoolean("json");
 		List<ConfigMeasurement.Result> results = new ArrayList<>();
--- a/core/src/main/java/org/eelgrasspitch/request/RetryBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/request/RetryBudget.java
@@ -13,9 +13,20 @@
 	/** Most retries saved up. */
 	public static final double MAX_SAVED = 10;
 
+	/** Whether retries cost anything. */
+	private final Guards guards;
+
 	/** Retries available now; at least 0. */
 	private double saved = MAX_SAVED;
 
+	/**
+	 * Creates a budget.
+	 * @param guards whether retries cost anything
+	 */
+	public RetryBudget(Guards guards) {
+		this.guards = guards;
+	}
+
 	/**
 	 * Notes a first attempt.
 	 */
@@ -28,6 +39,9 @@
 	 * @return true when the retry may be made
 	 */
 	public synchronized boolean tryTake() {
+		if (this.guards == Guards.NONE) {
+			return true;
+		}
 		if (this.saved < 1) {
 			return false;
 		}
--- a/core/src/main/java/org/eelgrasspitch/request/TargetChooser.java
+++ b/core/src/main/java/org/eelgrasspitch/request/TargetChooser.java
@@ -116,6 +116,20 @@
 		}
 	}
 
+	/**
+	 * Returns the targets that are passed over now because of what this node observed.
+	 * @param now current monotonic time in milliseconds
+	 * @return names of their VMs in alphabetical order
+	 */
+	public List<String> ejected(long now) {
+		return this.stats.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().isEjected(now))
+			.map(Map.Entry::getKey)
+			.sorted()
+			.toList();
+	}
+
 	private void refused(TargetStats target, Reason reason, long now) {
 		switch (reason) {
 			case LEAVING -> target.eject(now, LEAVING_MILLIS);
--- /dev/null
+++ b/example/src/test/java/org/eelgrasspitch/example/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the example.
+ */
+package org.eelgrasspitch.example;
--- a/node/src/main/java/org/eelgrasspitch/node/BurnLog.java
+++ b/node/src/main/java/org/eelgrasspitch/node/BurnLog.java
@@ -20,15 +20,19 @@
 
 	private final TimeSource time;
 
+	private final NodeMetrics metrics;
+
 	/** Counts; guarded by its own lock. */
 	private final BurnMeter meter = new BurnMeter();
 
-	BurnLog(TimeSource time) {
+	BurnLog(TimeSource time, NodeMetrics metrics) {
 		this.time = time;
+		this.metrics = metrics;
 	}
 
 	void ended(RouteKey route, CallOutcome outcome) {
 		boolean good = outcome instanceof CallOutcome.Answered answered && answered.status() < SERVER_ERROR;
+		this.metrics.objective(route, good);
 		synchronized (this.meter) {
 			this.meter.record(route, good, this.time.monotonicMillis());
 		}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -54,7 +54,7 @@
 	/** Observations of targets; guarded by its own lock. */
 	private final TargetChooser chooser;
 
-	private final RetryBudget budget = new RetryBudget();
+	private final RetryBudget budget;
 
 	private final HashedWheelTimer timer;
 
@@ -69,6 +69,7 @@
 		this.timer = timer;
 		this.mentioned = mentioned;
 		this.context = context;
+		this.budget = new RetryBudget(context.settings().guards());
 		this.home = home;
 		this.calls = calls;
 		this.chooser = new TargetChooser(context.settings().failureDomain(), random);
@@ -157,6 +158,12 @@
 		}
 	}
 
+	List<String> ejected() {
+		synchronized (this.chooser) {
+			return this.chooser.ejected(now());
+		}
+	}
+
 	void started(String vm) {
 		synchronized (this.chooser) {
 			this.chooser.started(vm, now());
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -16,6 +16,7 @@
 import org.eelgrasspitch.request.Reason;
 import org.eelgrasspitch.request.Ticket;
 import org.eelgrasspitch.text.OperationKind;
+import org.eelgrasspitch.text.Priority;
 import org.eelgrasspitch.text.Route;
 import org.eelgrasspitch.text.Service;
 import org.eelgrasspitch.text.Snapshot;
@@ -138,6 +139,26 @@
 		return this.queue.running() + this.queue.waiting();
 	}
 
+	synchronized int running() {
+		return this.queue.running();
+	}
+
+	synchronized int waiting() {
+		return this.queue.waiting();
+	}
+
+	/**
+	 * Returns how many requests may run on the target at a time.
+	 * @return the adaptive limit; 0 while no text names the service
+	 */
+	synchronized int targetLimit() {
+		return this.context.state()
+			.snapshot()
+			.flatMap((snapshot) -> snapshot.service(this.context.settings().service()))
+			.map((service) -> this.limit.limit(service.slots()))
+			.orElse(0);
+	}
+
 	int recordCount() {
 		return this.records.size();
 	}
@@ -169,12 +190,7 @@
 			return;
 		}
 		Service service = work.route.service();
-		AdmissionQueue.Admission<Work> admission;
-		synchronized (this) {
-			admission = this.queue.offer(work, work.route.operation().priority(), work.deadlineAt,
-					this.limit.limit(service.slots()), QUEUE_PER_SLOT * service.slots());
-		}
-		switch (admission) {
+		switch (offer(work, service.slots())) {
 			case AdmissionQueue.Admission.Started<Work> started -> dispatch(work);
 			case AdmissionQueue.Admission.Queued<Work> queued -> {
 				// A release starts it.
@@ -184,6 +200,14 @@
 		}
 	}
 
+	private synchronized AdmissionQueue.Admission<Work> offer(Work work, int slots) {
+		return switch (this.context.settings().guards()) {
+			case ALL -> this.queue.offer(work, work.route.operation().priority(), work.deadlineAt,
+					this.limit.limit(slots), QUEUE_PER_SLOT * slots);
+			case NONE -> this.queue.offer(work, Priority.values()[0], work.deadlineAt, slots, Integer.MAX_VALUE);
+		};
+	}
+
 	/**
 	 * Sends admitted work to the target. The deadline is checked here again: this process
 	 * may have been paused since the work was admitted.
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -60,8 +60,9 @@
 		this.closer = closer;
 		long now = time.monotonicMillis();
 		NodeState state = new NodeState(settings.pauseMillis(), now);
-		this.context = new NodeContext(settings, time, random.nextLong(1, Long.MAX_VALUE), now, state,
-				new NodeMetrics(), new BurnLog(time), new EventLog(time));
+		NodeMetrics metrics = new NodeMetrics();
+		this.context = new NodeContext(settings, time, random.nextLong(1, Long.MAX_VALUE), now, state, metrics,
+				new BurnLog(time, metrics), new EventLog(time));
 		Peer self = new Peer(settings.vm(), settings.failureDomain(), settings.advertisedAddress(),
 				this.context.incarnation());
 		FleetSettings fleet = FleetSettings.of(self, settings.seeds(), settings.distribution())
@@ -75,6 +76,7 @@
 		CallClient calls = new CallClient(this.context);
 		DeathReporter deaths = new DeathReporter(this.context, calls, timer);
 		this.home = new HomeService(this.context, target, deaths, random);
+		metrics.watch(this.home);
 		this.entry = new EntryService(this.context, this.home, calls, timer, this::mention, random);
 		PeerTransport transport = this.closer.register(new PeerTransport(self, PEER_THREADS,
 				new PeerListener(this.context, this.control, calls, this.home, this::mention), this.context.metrics()));
@@ -86,7 +88,7 @@
 		this.closer.register(this.control);
 		startProbing(target);
 		startFront(CallerFront.create(this.entry), settings.callerAddress());
-		startFront(OperatorFront.create(this.context, this.control, this.home), settings.operatorAddress());
+		startFront(OperatorFront.create(this.context, this.control, this.home, this.entry), settings.operatorAddress());
 	}
 
 	/**
--- a/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
@@ -4,14 +4,19 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.IntSupplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.eelgrasspitch.fleet.NoteKind;
 import org.eelgrasspitch.request.CallOutcome;
 import org.eelgrasspitch.text.Channel;
+import org.eelgrasspitch.text.RouteKey;
 import org.eelgrasspitch.wire.Purpose;
 import org.eelgrasspitch.wire.Traffic;
 
@@ -23,49 +28,74 @@
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
-	private final Counter bytes = Counter.builder()
-		.name("eelgrasspitch_peer_bytes_total")
-		.help("Bytes exchanged with other nodes, without TCP and IP headers")
-		.labelNames("purpose", "direction")
-		.register(this.registry);
-
-	private final Counter notes = Counter.builder()
-		.name("eelgrasspitch_events_total")
-		.help("Events of the configuration fleet")
-		.labelNames("event")
-		.register(this.registry);
-
-	private final Counter platformCalls = Counter.builder()
-		.name("eelgrasspitch_platform_calls_total")
-		.help("Calls to the platform, a waiting watch as one")
-		.labelNames("channel")
-		.register(this.registry);
-
-	private final Counter platformBytes = Counter.builder()
-		.name("eelgrasspitch_platform_bytes_total")
-		.help("Bytes of documents read from the platform")
-		.register(this.registry);
-
-	private final Counter requests = Counter.builder()
-		.name("eelgrasspitch_requests_total")
-		.help("Requests of callers by outcome")
-		.labelNames("service", "operation", "outcome")
-		.register(this.registry);
-
-	private final Counter retries = Counter.builder()
-		.name("eelgrasspitch_retries_total")
-		.help("Attempts after the first")
-		.register(this.registry);
-
-	private final Gauge revision = Gauge.builder()
-		.name("eelgrasspitch_text_revision")
-		.help("Revision of the text held")
-		.register(this.registry);
-
-	private final Gauge life = Gauge.builder()
-		.name("eelgrasspitch_life_state")
-		.help("State of the node: 0 starting, 1 confirming, 2 serving, 3 isolated, 4 leaving, 5 stopped")
-		.register(this.registry);
+	/** Names of all metrics. */
+	private final Set<String> names = new TreeSet<>();
+
+	private final Counter bytes = counter("eelgrasspitch_peer_bytes_total",
+			"Bytes exchanged with other nodes, without TCP and IP headers", "purpose", "direction");
+
+	private final Counter notes = counter("eelgrasspitch_events_total", "Events of the configuration fleet", "event");
+
+	private final Counter platformCalls = counter("eelgrasspitch_platform_calls_total",
+			"Calls to the platform, a waiting watch as one", "channel");
+
+	private final Counter platformBytes = counter("eelgrasspitch_platform_bytes_total",
+			"Bytes of documents read from the platform");
+
+	private final Counter requests = counter("eelgrasspitch_requests_total", "Requests of callers by outcome",
+			"service", "operation", "outcome");
+
+	private final Counter retries = counter("eelgrasspitch_retries_total", "Attempts after the first");
+
+	private final Counter objectives = counter("eelgrasspitch_objective_events_total",
+			"Requests of callers that count for and against the objective of their operation", "service", "operation",
+			"result");
+
+	private final Gauge revision = gauge("eelgrasspitch_text_revision", "Revision of the text held");
+
+	private final Gauge life = gauge("eelgrasspitch_life_state",
+			"State of the node: 0 starting, 1 confirming, 2 serving, 3 isolated, 4 leaving, 5 stopped");
+
+	/**
+	 * Adds what the home side knows of its target.
+	 * @param home the home side
+	 */
+	void watch(HomeService home) {
+		watched("eelgrasspitch_running_requests", "Requests that run on the target", () -> home.running());
+		watched("eelgrasspitch_waiting_requests", "Requests that wait for the target", () -> home.waiting());
+		watched("eelgrasspitch_target_limit", "Requests that may run on the target at a time",
+				() -> home.targetLimit());
+		watched("eelgrasspitch_records", "Records of at-most-once requests", () -> home.recordCount());
+		watched("eelgrasspitch_quarantined_requests", "Requests that targets broke off on",
+				() -> home.quarantineCount());
+	}
+
+	/**
+	 * Returns the names of all metrics.
+	 * @return the names in alphabetical order
+	 */
+	Set<String> names() {
+		return Set.copyOf(this.names);
+	}
+
+	private Counter counter(String name, String help, String... labels) {
+		this.names.add(name);
+		return Counter.builder().name(name).help(help).labelNames(labels).register(this.registry);
+	}
+
+	private Gauge gauge(String name, String help) {
+		this.names.add(name);
+		return Gauge.builder().name(name).help(help).register(this.registry);
+	}
+
+	private void watched(String name, String help, IntSupplier value) {
+		this.names.add(name);
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsInt()))
+			.register(this.registry);
+	}
 
 	@Override
 	public void sent(Purpose purpose, int length) {
@@ -93,6 +123,10 @@
 		this.requests.labelValues(service, operation, Outcomes.word(outcome)).inc();
 	}
 
+	void objective(RouteKey route, boolean good) {
+		this.objectives.labelValues(route.service(), route.operation(), good ? "good" : "bad").inc();
+	}
+
 	void retried() {
 		this.retries.inc();
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/NodeSettings.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeSettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.request.Guards;
 
 /**
  * What a node is told when it starts.
@@ -28,11 +29,13 @@
  * milliseconds
  * @param startMillis longest wait for peers before the first text is taken, in
  * milliseconds
+ * @param guards whether targets are protected under overload
  */
 public record NodeSettings(String vm, String failureDomain, String service, InetSocketAddress peerAddress,
 		InetSocketAddress advertisedAddress, InetSocketAddress callerAddress, InetSocketAddress operatorAddress,
 		InetSocketAddress targetAddress, String platformUrl, List<InetSocketAddress> seeds, Distribution distribution,
-		int platformCallsPerSecond, int recordCapacity, int drainMillis, int pauseMillis, int startMillis) {
+		int platformCallsPerSecond, int recordCapacity, int drainMillis, int pauseMillis, int startMillis,
+		Guards guards) {
 
 	/**
 	 * Returns the local address for connections to other nodes.
--- a/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
+++ b/node/src/main/java/org/eelgrasspitch/node/OperatorFront.java
@@ -28,12 +28,13 @@
 	 * @param context the node's shared parts
 	 * @param control the control thread
 	 * @param home the home side, for its counts
+	 * @param entry the entry side, for the targets it passes over
 	 * @return the application, not started
 	 */
-	static Jooby create(NodeContext context, ControlLoop control, HomeService home) {
+	static Jooby create(NodeContext context, ControlLoop control, HomeService home, EntryService entry) {
 		Jooby app = new Jooby();
 		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
-		app.get("/status", (request) -> status(context, control, home, request));
+		app.get("/status", (request) -> status(context, control, home, entry, request));
 		app.get("/routes", (request) -> {
 			HttpAnswers.json(request, OK, RouteReport.of(context.state().snapshot()));
 			return request;
@@ -55,15 +56,15 @@
 		return app;
 	}
 
-	private static Object status(NodeContext context, ControlLoop control, HomeService home, Context request)
-			throws Exception {
+	private static Object status(NodeContext context, ControlLoop control, HomeService home, EntryService entry,
+			Context request) throws Exception {
 		return request.detach((detached) -> {
 			control.view().whenComplete((view, failure) -> {
 				if (failure != null) {
 					HttpAnswers.json(request, UNAVAILABLE, new Accepted("busy"));
 					return;
 				}
-				HttpAnswers.json(request, OK, StatusReport.of(context, view, home));
+				HttpAnswers.json(request, OK, StatusReport.of(context, view, home, entry));
 			});
 			return request;
 		});
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -19,6 +19,7 @@
 import org.eelgrasspitch.misc.LocatedReader;
 import org.eelgrasspitch.misc.Position;
 import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.request.Guards;
 
 /**
  * Reads a node's settings from JSON with comments and reports every problem in one go.
@@ -102,7 +103,7 @@
 				fields.integer("recordCapacity", 1, MAX_RECORDS, DEFAULT_RECORDS),
 				fields.integer("drainMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
 				fields.integer("pauseMillis", MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, DEFAULT_PAUSE_MILLIS),
-				fields.integer("startMillis", 0, MAX_START_MILLIS, DEFAULT_START_MILLIS));
+				fields.integer("startMillis", 0, MAX_START_MILLIS, DEFAULT_START_MILLIS), guards(fields));
 		fields.refuseUnknown();
 		return settings;
 	}
@@ -112,6 +113,10 @@
 				: Distribution.DELTAS;
 	}
 
+	private Guards guards(Fields fields) {
+		return fields.has("guards") ? fields.word("guards", List.of(Guards.values())) : Guards.ALL;
+	}
+
 	private InetSocketAddress address(Fields fields, String key) {
 		String written = fields.text(key);
 		Optional<InetSocketAddress> address = Addresses.parse(written);
--- a/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
+++ b/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
@@ -27,13 +27,17 @@
  * @param rejectedProblems what is wrong with it, as far as known here
  * @param inFlight requests that run or wait here
  * @param records records of at-most-once requests
+ * @param targetLimit requests that may run on this node's target at a time
+ * @param quarantines requests that are refused because targets broke off on them
+ * @param ejected names of VMs whose targets this node passes over for now
  * @param peers open links
  */
 public record StatusReport(String vm, String failureDomain, long incarnation, String state, boolean confirmed,
 		String role, long revision, Optional<String> digest, long floor, long vmsRevision, long evidenceAgeMillis,
-		long rejectedRevision, List<String> rejectedProblems, int inFlight, int records, List<PeerStatus> peers) {
+		long rejectedRevision, List<String> rejectedProblems, int inFlight, int records, int targetLimit,
+		int quarantines, List<String> ejected, List<PeerStatus> peers) {
 
-	static StatusReport of(NodeContext context, FleetView view, HomeService home) {
+	static StatusReport of(NodeContext context, FleetView view, HomeService home, EntryService entry) {
 		List<PeerStatus> peers = view.peers()
 			.stream()
 			.map((peer) -> new PeerStatus(peer.peer().vm(), peer.peer().failureDomain(), peer.outbound(),
@@ -46,7 +50,8 @@
 				word(view.life()), view.evidenceAgeMillis() >= 0, word(view.role()), revision(view.text()),
 				view.text().map((version) -> version.digest().hex()), view.floor(), revision(view.vms()),
 				view.evidenceAgeMillis(), view.rejection().map((rejection) -> rejection.revision()).orElse(0L),
-				problems, home.inFlight(), home.recordCount(), peers);
+				problems, home.inFlight(), home.recordCount(), home.targetLimit(), home.quarantineCount(),
+				entry.ejected(), peers);
 	}
 
 	private static long revision(Optional<Version> version) {
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import org.eelgrasspitch.request.RetryBudget;
 import org.eelgrasspitch.testkit.BrokenTarget;
 import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
@@ -33,6 +35,10 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
+	private static final int PERCENT = 100;
+
+	private static final long CHAIN_START_MILLIS = 60_000;
+
 	private final World world = Worlds.current();
 
 	private LoadGenerator load;
@@ -67,6 +73,50 @@
 		startLoad(flows);
 	}
 
+	@Given("a chain of {int} services in {int} failure domains")
+	public void chain(int length, int failureDomains) {
+		List<String> services = chainServices(length);
+		this.world.startChain(services, failureDomains);
+		List<String> open = this.world.cluster()
+			.await(this.world.cluster().vms(), CHAIN_START_MILLIS, (status) -> status.state().equals("serving"));
+		Assert.assertTrue(open.isEmpty(), open + " do not serve");
+	}
+
+	@When("{int} callers call the first of {int} services for {int} seconds")
+	public void callChain(int callers, int length, int seconds) {
+		List<LoadGenerator.Flow> flows = new ArrayList<>();
+		for (int index = 0; index < callers; index++) {
+			flows.add(new LoadGenerator.Flow(chainServices(length).get(0), "read", false, 20));
+		}
+		startLoad(flows);
+		Cluster.sleep(seconds * MILLIS_PER_SECOND);
+		this.load.stop();
+	}
+
+	@When("the last of {int} services refuses everything")
+	public void lastRefuses(int length) {
+		String last = chainServices(length).get(length - 1);
+		this.world.cluster()
+			.vms()
+			.stream()
+			.filter((vm) -> this.world.cluster().deployment().member(vm).settings().service().equals(last))
+			.forEach((vm) -> this.world.target(vm).drain(true));
+	}
+
+	@Then("none of {int} services got more than {int} percent of the callers' requests")
+	public void chainLoad(int length, int percent) {
+		int requests = this.load.outcomes().values().stream().mapToInt(Integer::intValue).sum();
+		int saved = (int) RetryBudget.MAX_SAVED * this.world.cluster().vms().size() / length;
+		List<String> reached = new ArrayList<>();
+		for (String service : chainServices(length)) {
+			int got = this.world.reached(service);
+			reached.add(service + ": " + got);
+			Assert.assertTrue(got <= requests * percent / PERCENT + saved, requests + " requests, reached " + reached);
+		}
+		Assert.assertTrue(requests > 0 && this.world.reached(chainServices(length).get(length - 2)) > 0,
+				"the load came down the chain: " + reached);
+	}
+
 	@When("for {int} seconds nodes are killed, paused and cut off at random")
 	public void chaos(int seconds) {
 		SplittableRandom random = new SplittableRandom(SEED);
@@ -166,6 +216,17 @@
 			.forEach(this::breakTarget);
 	}
 
+	@When("the targets of {word} work again")
+	public void mendTargets(String service) {
+		this.broken.forEach(BrokenTarget::close);
+		this.broken.clear();
+		this.world.cluster()
+			.vms()
+			.stream()
+			.filter((vm) -> this.world.cluster().deployment().member(vm).settings().service().equals(service))
+			.forEach(this.world::startTarget);
+	}
+
 	@When("the broken target's requests are counted from now")
 	public void countBroken() {
 		this.receivedBefore = received();
@@ -223,6 +284,10 @@
 		this.broken.forEach(BrokenTarget::close);
 	}
 
+	private static List<String> chainServices(int length) {
+		return IntStream.rangeClosed(1, length).mapToObj((number) -> "step-" + number).toList();
+	}
+
 	private int received() {
 		return this.broken.stream().mapToInt(BrokenTarget::received).sum();
 	}
@@ -240,6 +305,7 @@
 	private void startLoad(List<LoadGenerator.Flow> flows) {
 		List<InetSocketAddress> nodes = this.world.cluster().vms().stream().map(this.world::callerPort).toList();
 		this.load = new LoadGenerator(nodes, flows, CALLER_TIMEOUT_MILLIS);
+		this.load.checkRefusals(this.world::hasStarted);
 		this.load.start(SEED);
 	}
 
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -84,12 +84,31 @@
 	private int slots = 10;
 
 	void start(int nodes, int failureDomains, String extraSettings) {
+		start(nodes, failureDomains, List.of("renewals", "archive"), extraSettings);
+	}
+
+	/**
+	 * Starts a mesh in which each service but the last calls the next one.
+	 */
+	void startChain(List<String> services, int failureDomains) {
+		start(services.size() * failureDomains, failureDomains, services, "");
+		for (String vm : this.cluster.vms()) {
+			int next = services.indexOf(this.cluster.deployment().member(vm).settings().service()) + 1;
+			if (next < services.size()) {
+				target(vm).onward((id) -> this.cluster.control()
+					.call(callerPort(vm), HttpCaller.CallSpec.of(services.get(next), "read", id))
+					.map(HttpCaller.CallAnswer::status)
+					.orElse(0));
+			}
+		}
+	}
+
+	private void start(int nodes, int failureDomains, List<String> services, String extraSettings) {
 		List<String> names = new ArrayList<>();
 		for (int index = 1; index <= failureDomains; index++) {
 			names.add("fd-" + index);
 		}
-		this.writer = new DeploymentWriter(takeOctet(), names, List.of("renewals", "archive"), nodes, true,
-				extraSettings);
+		this.writer = new DeploymentWriter(takeOctet(), names, services, nodes, true, extraSettings);
 		try {
 			this.logs = Files.createDirectories(Path.of(System.getProperty("eelgrasspitch.logs", "target/logs")));
 			this.logs = Files.createTempDirectory(this.logs, "scenario");
@@ -255,6 +274,32 @@
 			.toList();
 	}
 
+	/**
+	 * Tells whether a request started at any target by now.
+	 */
+	boolean hasStarted(String id) {
+		return this.executions.values().stream().anyMatch((record) -> {
+			synchronized (record) {
+				return record.containsKey(id);
+			}
+		});
+	}
+
+	/**
+	 * Returns the requests that reached the targets of a service, refused ones included.
+	 */
+	int reached(String service) {
+		int reached = 0;
+		for (String vm : this.cluster.vms()) {
+			if (!this.cluster.deployment().member(vm).settings().service().equals(service)) {
+				continue;
+			}
+			reached += target(vm).receivedWhileDraining();
+			reached += target(vm).executionList().stream().mapToInt(TargetStandIn.Execution::count).sum();
+		}
+		return reached;
+	}
+
 	/**
 	 * Returns how often each request started, over all targets.
 	 */
--- a/scenarios/src/test/resources/features/requests.feature
+++ b/scenarios/src/test/resources/features/requests.feature
@@ -67,6 +67,17 @@
     Then the broken targets got at most 2 requests since
     And each of its callers got a final answer
 
+  Scenario: Targets that all failed are used again as soon as they work
+    Given a mesh of 6 nodes in 3 failure domains
+    And every target of renewals breaks off every answer but says it is healthy
+    And callers look up and pay all the time
+    And 3 seconds pass
+    When the targets of renewals work again
+    And 3 seconds pass
+    And the callers stop
+    Then 5 lookups of renewals through every node of fd-1 are answered
+    And every answer belonged to its own request and was whole
+
   Scenario: Retries stay within a tenth when a whole service is down
     Given a mesh of 6 nodes in 3 failure domains
     And callers look up and pay all the time
@@ -79,6 +90,12 @@
     Then retries of all nodes were at most 10 percent of requests
     And every answered payment ran, and no refused request did
 
+  Scenario: A chain of 12 whose last service is down does not multiply the load
+    Given a chain of 12 services in 2 failure domains
+    When the last of 12 services refuses everything
+    And 8 callers call the first of 12 services for 8 seconds
+    Then none of 12 services got more than 110 percent of the callers' requests
+
   Scenario: Overload sheds lookups before payments, and ends with the load
     Given a mesh of 6 nodes in 3 failure domains
     And requests take 100 ms
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/LoadGenerator.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/LoadGenerator.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /**
  * Callers that send requests at a steady pace to randomly chosen nodes. An at-most-once
@@ -47,6 +48,9 @@
 	/** Identifiers of at-most-once requests that were answered. */
 	private final ConcurrentLinkedQueue<String> paid = new ConcurrentLinkedQueue<>();
 
+	/** Tells whether a request started at any target by now. */
+	private volatile Predicate<String> started = (id) -> false;
+
 	private volatile boolean stopping;
 
 	/**
@@ -76,6 +80,15 @@
 		}
 	}
 
+	/**
+	 * Checks every refusal that says "not run", also those that are followed by a resend,
+	 * at the moment it arrives.
+	 * @param oracle tells whether a request started at any target by now
+	 */
+	public void checkRefusals(Predicate<String> oracle) {
+		this.started = oracle;
+	}
+
 	/**
 	 * Stops sending and waits for requests in flight.
 	 */
@@ -149,7 +162,16 @@
 
 	private void look(Flow flow, String id, SplittableRandom random) {
 		HttpCaller.CallSpec call = HttpCaller.CallSpec.of(flow.service(), flow.operation(), id);
-		record(flow, id, this.caller.call(anyNode(random), call));
+		Optional<HttpCaller.CallAnswer> answer = this.caller.call(anyNode(random), call);
+		answer.ifPresent((got) -> checkRefusal(id, got));
+		record(flow, id, answer);
+	}
+
+	private void checkRefusal(String id, HttpCaller.CallAnswer got) {
+		if (got.ran().orElse("").equals("no") && this.started.test(id)) {
+			this.violations
+				.add(id + ": refused as not run, but ran: " + new String(got.body(), StandardCharsets.UTF_8));
+		}
 	}
 
 	private void pay(Flow flow, String id, SplittableRandom random) {
@@ -164,6 +186,7 @@
 		Optional<HttpCaller.CallAnswer> answer = Optional.empty();
 		for (int attempt = 0; attempt <= MAX_RESENDS && !isFinal(answer); attempt++) {
 			answer = this.caller.call(anyNode(random), call);
+			answer.ifPresent((got) -> checkRefusal(id, got));
 			call = call.again();
 		}
 		record(flow, id, answer);
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/OverloadMeasurement.java
@@ -0,0 +1,280 @@
+package org.eelgrasspitch.testkit;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.LongStream;
+
+import org.eelgrasspitch.request.Guards;
+import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
+import org.eelgrasspitch.testkit.HttpCaller.CallSpec;
+import org.eelgrasspitch.text.Channel;
+
+/**
+ * Measures what is answered at half of the targets' capacity, at twice the capacity, and
+ * at half of it again, and how long it takes until calls are as quick as before. The load
+ * is open-loop: each call has a scheduled time, and its latency counts from then. One
+ * call in ten is at-most-once and more important than the others.
+ * <p>
+ * Three targets of ten slots and 100 ms a call give a capacity of 300 calls a second. The
+ * load comes from this process, nodes and targets are processes of their own.
+ */
+public final class OverloadMeasurement {
+
+	private static final long START_MILLIS = 60_000;
+
+	private static final long TIMEOUT_MILLIS = 15_000;
+
+	private static final int TARGETS = 3;
+
+	private static final int SERVICE_MILLIS = 100;
+
+	private static final int CAPACITY = 300;
+
+	private static final int PAYMENT_EVERY = 10;
+
+	private static final int WARM_SECONDS = 8;
+
+	private static final int SHORT_SECONDS = 5;
+
+	private static final int LONG_SECONDS = 15;
+
+	private static final int AFTER_SECONDS = 15;
+
+	/** Latency counts as back below this multiple of the one before the overload. */
+	private static final int BACK_FACTOR = 2;
+
+	private static final int OK = 200;
+
+	private static final String SERVICE = "renewals";
+
+	private final Cluster cluster;
+
+	private final HttpCaller caller = new HttpCaller(TIMEOUT_MILLIS);
+
+	private int number;
+
+	private OverloadMeasurement(Cluster cluster) {
+		this.cluster = cluster;
+	}
+
+	/**
+	 * Runs one measurement.
+	 * @param guards what holds under overload
+	 * @param octet second number of all addresses
+	 * @param directory an empty directory for files and logs
+	 * @param progress receives a line now and then
+	 * @return the result
+	 */
+	public static Result run(Guards guards, int octet, Path directory, PrintStream progress) {
+		DeploymentWriter writer = new DeploymentWriter(octet, List.of("fd-1"), List.of(SERVICE), TARGETS, false,
+				"\"guards\": \"" + guards + "\"");
+		Deployment deployment = writer.write(directory.resolve("deployment"),
+				writer.text(DeploymentWriter.DEFAULT_SLOTS, 0, 0));
+		try (Cluster cluster = new Cluster(deployment, directory)) {
+			PlatformStandIn platform = cluster.embedPlatform();
+			platform.publish(Channel.VMS, deployment.vms());
+			platform.publish(Channel.TEXT, deployment.text());
+			cluster.startTargets(SERVICE_MILLIS);
+			cluster.startNodes();
+			List<String> open = cluster.await(cluster.vms(), START_MILLIS,
+					(status) -> status.state().equals("serving"));
+			if (!open.isEmpty()) {
+				throw new IllegalStateException("do not serve: " + open);
+			}
+			return new OverloadMeasurement(cluster).run(guards, progress);
+		}
+	}
+
+	private Result run(Guards guards, PrintStream progress) {
+		progress.printf("guards %s: warming up%n", guards);
+		load(CAPACITY / 2, WARM_SECONDS);
+		progress.printf("guards %s: half of the capacity%n", guards);
+		List<Ended> before = load(CAPACITY / 2, SHORT_SECONDS);
+		progress.printf("guards %s: twice the capacity, then half%n", guards);
+		ConcurrentLinkedQueue<Ended> during = new ConcurrentLinkedQueue<>();
+		ConcurrentLinkedQueue<Ended> after = new ConcurrentLinkedQueue<>();
+		List<Thread> open = new ArrayList<>();
+		send(2 * CAPACITY, LONG_SECONDS, during, open);
+		send(CAPACITY / 2, AFTER_SECONDS, after, open);
+		open.forEach(OverloadMeasurement::join);
+		long usual = percentile(before, 99);
+		this.caller.close();
+		return new Result(guards.toString(), Phase.of(before, SHORT_SECONDS), Phase.of(during, LONG_SECONDS),
+				Phase.of(after, AFTER_SECONDS), secondsUntil(after, usual * BACK_FACTOR));
+	}
+
+	private List<Ended> load(int perSecond, int seconds) {
+		ConcurrentLinkedQueue<Ended> ended = new ConcurrentLinkedQueue<>();
+		List<Thread> open = new ArrayList<>();
+		send(perSecond, seconds, ended, open);
+		open.forEach(OverloadMeasurement::join);
+		return List.copyOf(ended);
+	}
+
+	/**
+	 * Starts calls at their scheduled times.
+	 */
+	private void send(int perSecond, int seconds, ConcurrentLinkedQueue<Ended> ended, List<Thread> open) {
+		long interval = TimeUnit.SECONDS.toNanos(1) / perSecond;
+		long startedAt = System.nanoTime();
+		List<String> vms = this.cluster.vms();
+		for (int index = 0; index < perSecond * seconds; index++) {
+			long scheduled = startedAt + index * interval;
+			waitUntil(scheduled);
+			boolean payment = index % PAYMENT_EVERY == 0;
+			String id = SERVICE + "-" + this.number++;
+			InetSocketAddress node = this.cluster.deployment()
+				.member(vms.get(index % vms.size()))
+				.settings()
+				.callerAddress();
+			int second = index / perSecond;
+			open.add(Thread.startVirtualThread(() -> {
+				Optional<CallAnswer> answer = payment ? pay(node, id)
+						: this.caller.call(node, CallSpec.of(SERVICE, "read", id));
+				long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - scheduled);
+				ended.add(new Ended(payment, answer.filter((got) -> got.status() == OK).isPresent(), second, millis));
+			}));
+		}
+	}
+
+	private Optional<CallAnswer> pay(InetSocketAddress node, String id) {
+		List<String> tickets = this.caller.tickets(node, SERVICE, "pay", 1);
+		if (tickets.isEmpty()) {
+			return Optional.empty();
+		}
+		return this.caller.call(node, new CallSpec(SERVICE, "pay", id, Optional.of(tickets.get(0)), 1,
+				id.getBytes(StandardCharsets.UTF_8), false));
+	}
+
+	private static void waitUntil(long nanos) {
+		long left = nanos - System.nanoTime();
+		while (left > 0) {
+			LockSupport.parkNanos(left);
+			left = nanos - System.nanoTime();
+		}
+	}
+
+	private static void join(Thread thread) {
+		try {
+			thread.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Returns the first second from which on calls are answered below a bound.
+	 */
+	private static int secondsUntil(ConcurrentLinkedQueue<Ended> ended, long boundMillis) {
+		int back = 0;
+		for (int second = 0; second < AFTER_SECONDS; second++) {
+			int wanted = second;
+			List<Ended> window = ended.stream().filter((call) -> call.second() == wanted).toList();
+			boolean slow = percentile(window, 99) > boundMillis || window.stream().anyMatch((call) -> !call.answered());
+			if (slow) {
+				back = second + 1;
+			}
+		}
+		return back;
+	}
+
+	private static long percentile(Iterable<Ended> ended, int percent) {
+		List<Long> answered = new ArrayList<>();
+		ended.forEach((call) -> {
+			if (call.answered()) {
+				answered.add(call.millis());
+			}
+		});
+		if (answered.isEmpty()) {
+			return 0;
+		}
+		long[] sorted = answered.stream().mapToLong(Long::longValue).sorted().toArray();
+		return sorted[(sorted.length - 1) * percent / 100];
+	}
+
+	/**
+	 * A call that ended.
+	 *
+	 * @param payment true for an at-most-once call
+	 * @param answered true when the target's answer came
+	 * @param second the second of its phase in which it was scheduled
+	 * @param millis time from its scheduled time, in milliseconds
+	 */
+	private record Ended(boolean payment, boolean answered, int second, long millis) {
+
+	}
+
+	/**
+	 * What happened in one phase.
+	 *
+	 * @param sent calls sent
+	 * @param paymentPercent share of at-most-once calls that were answered
+	 * @param lookupsPerSecond other calls answered, a second
+	 * @param p50 median latency of answered calls, in milliseconds
+	 * @param p99 99th percentile of it
+	 * @param refusedP99 99th percentile of the time until other calls ended
+	 */
+	public record Phase(int sent, double paymentPercent, double lookupsPerSecond, long p50, long p99, long refusedP99) {
+
+		static Phase of(Iterable<Ended> ended, int seconds) {
+			List<Ended> calls = new ArrayList<>();
+			ended.forEach(calls::add);
+			long payments = calls.stream().filter(Ended::payment).count();
+			long paid = calls.stream().filter((call) -> call.payment() && call.answered()).count();
+			long lookups = calls.stream().filter((call) -> !call.payment() && call.answered()).count();
+			LongStream refused = calls.stream().filter((call) -> !call.answered()).mapToLong(Ended::millis).sorted();
+			long[] sorted = refused.toArray();
+			long refusedP99 = (sorted.length > 0) ? sorted[(sorted.length - 1) * 99 / 100] : 0;
+			return new Phase(calls.size(), 100.0 * paid / Math.max(1, payments), (double) lookups / seconds,
+					percentile(calls, 50), percentile(calls, 99), refusedP99);
+		}
+
+		String cells() {
+			return "%6d  %6.1f  %6.1f  %5d/%5d/%5d".formatted(this.sent, this.paymentPercent, this.lookupsPerSecond,
+					this.p50, this.p99, this.refusedP99);
+		}
+
+	}
+
+	/**
+	 * The result of one measurement.
+	 *
+	 * @param guards what held under overload
+	 * @param before at half of the capacity
+	 * @param during at twice the capacity
+	 * @param after at half of the capacity again
+	 * @param secondsUntilBack first second after the overload from which on every call
+	 * was answered with a 99th percentile below twice the one before
+	 */
+	public record Result(String guards, Phase before, Phase during, Phase after, int secondsUntilBack) {
+
+		/**
+		 * Returns the heading of the table.
+		 * @return one line
+		 */
+		public static String heading() {
+			return "guards  phase     sent  payments answered %  lookups answered/s  ms p50/p99 answered/p99 refused"
+					+ "   back after s";
+		}
+
+		/**
+		 * Returns the result as lines of the table.
+		 * @return three lines
+		 */
+		public String rows() {
+			return "%6s  before  %s%n%6s  during  %s%n%6s  after   %s   %d".formatted(this.guards, this.before.cells(),
+					this.guards, this.during.cells(), this.guards, this.after.cells(), this.secondsUntilBack);
+		}
+
+	}
+
+}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToIntFunction;
 
 import io.jooby.Context;
 import io.jooby.Jooby;
@@ -39,6 +40,8 @@
 
 	private static final int GONE = 410;
 
+	private static final int BAD_GATEWAY = 502;
+
 	private static final int COLD_FACTOR = 3;
 
 	private final Closer closer = new Closer();
@@ -77,6 +80,9 @@
 
 	private volatile String healthLie = "";
 
+	/** Calls the next service of a chain; null when there is none. */
+	private volatile ToIntFunction<String> onward;
+
 	/**
 	 * Starts a target.
 	 * @param options its properties
@@ -125,6 +131,15 @@
 		this.serviceMillis = millis;
 	}
 
+	/**
+	 * Makes every request call a further service before it is answered; when that fails,
+	 * so does the request.
+	 * @param call gets the request's identifier and returns the status of the answer
+	 */
+	public void onward(ToIntFunction<String> call) {
+		this.onward = call;
+	}
+
 	/**
 	 * Returns how many requests arrived while draining.
 	 * @return the number since the start
@@ -173,8 +188,16 @@
 		String operation = context.path("operation").value();
 		int bodyLength = context.body().bytes().length;
 		long takes = takesMillis();
+		ToIntFunction<String> next = this.onward;
+		if (next != null) {
+			return context.detach((detached) -> {
+				Thread.startVirtualThread(() -> finish(context, id, operation, bodyLength,
+						(next.applyAsInt(id) == OK) ? OK : BAD_GATEWAY));
+				return context;
+			});
+		}
 		if (takes == 0) {
-			finish(context, id, operation, bodyLength, false);
+			finish(context, id, operation, bodyLength, OK);
 			return context;
 		}
 		return context.detach((detached) -> {
@@ -190,7 +213,7 @@
 			boolean abandoned) {
 		if (ended.compareAndSet(false, true)) {
 			this.cancellations.remove(id);
-			finish(context, id, operation, bodyLength, abandoned);
+			finish(context, id, operation, bodyLength, abandoned ? GONE : OK);
 		}
 	}
 
@@ -206,12 +229,12 @@
 		return this.loadLie.isEmpty() ? this.running.get() + "/" + this.options.slots() : this.loadLie;
 	}
 
-	private void finish(Context context, String id, String operation, int bodyLength, boolean abandoned) {
+	private void finish(Context context, String id, String operation, int bodyLength, int status) {
 		this.running.decrementAndGet();
 		context.setResponseHeader("Request-Id", id);
 		String answer = Json.write(new Answer(id, operation, this.options.name(), bodyLength));
 		String padding = " ".repeat(this.options.answerPadding());
-		text(context, abandoned ? GONE : OK, answer + padding);
+		text(context, status, answer + padding);
 	}
 
 	private long takesMillis() {
