Send lists of parts as changes; ask a deaf peer last; heartbeats name revisions

Cause 1: after changes of parts, the list of digests was what a follower cost: 1.44 KB a change at 26 services, 6.8 KB at 130 services (945 KB of text), so a reader of 116 nodes would need 33 KB/s at 1 MB.

Its log shows no event at all: it learned of the version from a peer that can speak and not hear, asked that peer, gave up after 3 s and asked the same peer again. Until one reader watched for both, the second reader's own watch had hidden this.

Ruled out: a lost status behind short heartbeats (the peer's full status had arrived, or nothing would have been pulled); all the same a heartbeat now names revisions, and a receiver that does not know them asks.

Change: a pull names the document held, the answer keeps runs of its list; an unknown base is answered as such and the pull repeated with the digests held.

ExchangeTests: 400 random texts, gaps of up to six versions, 0 differences. 21 scenarios of configuration: 0 failures (117 s).

--- a/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -49,7 +49,7 @@
 			.help("with the policies against overload, or without them");
 		parser.addArgument("--nodes")
 			.type(Integer.class)
-			.nargs("+")
+			.nargs("*")
 			.setDefault(List.of(12, 24))
 			.help("numbers of nodes");
 		parser.addArgument("--distribution")
@@ -57,6 +57,10 @@
 			.choices("deltas", "parts", "whole", "poll")
 			.setDefault(List.of("deltas"))
 			.help("parts that changed, whole documents, or every node polling the platform");
+		parser.addArgument("--deployment")
+			.nargs("+")
+			.setDefault(List.of())
+			.help("directories of deployments to measure as they are, beside --nodes");
 		parser.addArgument("--failure-domains").type(Integer.class).setDefault(3).help("number of failure domains");
 		parser.addArgument("--services").type(Integer.class).setDefault(26).help("number of services");
 		parser.addArgument("--operations").type(Integer.class).setDefault(60).help("further operations of a service");
@@ -119,6 +123,9 @@
 		boolean json = arguments.getBoolean("json");
 		List<ConfigMeasurement.Result> results = new ArrayList<>();
 		int octet = FIRST_OCTET;
+		for (String deployment : arguments.<String>getList("deployment")) {
+			results.add(ConfigMeasurement.run(Path.of(deployment), directory(), System.err));
+		}
 		for (Integer nodes : arguments.<Integer>getList("nodes")) {
 			for (String distribution : arguments.<String>getList("distribution")) {
 				ConfigMeasurement.Plan plan = new ConfigMeasurement.Plan(nodes, arguments.getInt("failure_domains"),
@@ -126,12 +133,12 @@
 						Distribution.valueOf(distribution.toUpperCase(Locale.ROOT)), octet++);
 				ConfigMeasurement.Result result = ConfigMeasurement.run(plan, directory(), System.err);
 				results.add(result);
-				if (json) {
-					System.out.println(Json.write(result));
-				}
 			}
 		}
-		if (!json) {
+		if (json) {
+			results.forEach((result) -> System.out.println(Json.write(result)));
+		}
+		else {
 			System.out.println(ConfigMeasurement.Result.heading());
 			results.forEach((result) -> System.out.println(result.row()));
 		}
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -91,7 +91,7 @@
 	public FleetMember(FleetSettings settings, RandomGenerator random, long now) {
 		this.settings = settings;
 		this.random = random;
-		this.holdings = new Holdings(settings.distribution() == Distribution.DELTAS);
+		this.holdings = new Holdings(settings.distribution());
 		this.links = new LinkTable(random);
 		this.topology = new Topology(settings, random, this.links, now);
 		this.puller = new Puller(settings, this.holdings, this.links);
@@ -294,10 +294,13 @@
 		switch (received.message()) {
 			case PeerMessage.Status status -> status(link.get(), status, now);
 			case PeerMessage.Heartbeat heartbeat -> link.get()
-				.status()
-				.ifPresent((former) -> status(link.get(), former.withAge(heartbeat.evidenceAgeMillis()), now));
+				.status(heartbeat)
+				.ifPresentOrElse((status) -> status(link.get(), status, now),
+						() -> send(link.get().id(), new PeerMessage.Query(this.life.nonce())));
 			case PeerMessage.Query query -> query(link.get(), query, now);
 			case PeerMessage.Pull pull -> send(link.get().id(), this.holdings.reply(pull));
+			case PeerMessage.BaseUnknown unknown ->
+				this.effects.addAll(this.puller.list(unknown.channel(), !this.startGateOpen, now));
 			case PeerMessage.Parts parts -> parts(link.get(), parts, now);
 		}
 	}
--- a/core/src/main/java/org/eelgrasspitch/fleet/Holdings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Holdings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,20 +28,23 @@
  */
 final class Holdings {
 
-	/** True to send changes of parts instead of parts where that is shorter. */
-	private final boolean sendsDeltas;
+	/** Parts after which a manifest takes no more runs of its base. */
+	private static final int MAX_PARTS = 4_096;
 
-	/** Parts held before, by channel. */
-	private final Map<Channel, FormerParts> former = new EnumMap<>(Channel.class);
+	/** How documents travel. */
+	private final Distribution distribution;
+
+	/** Documents held before, by channel. */
+	private final Map<Channel, FormerDocuments> former = new EnumMap<>(Channel.class);
 
 	private final VersionKeeper<Snapshot> text = new VersionKeeper<>();
 
 	private final VersionKeeper<VmList> vms = new VersionKeeper<>();
 
-	Holdings(boolean sendsDeltas) {
-		this.sendsDeltas = sendsDeltas;
+	Holdings(Distribution distribution) {
+		this.distribution = distribution;
 		for (Channel channel : Channel.values()) {
-			this.former.put(channel, new FormerParts());
+			this.former.put(channel, new FormerDocuments());
 		}
 	}
 
@@ -59,7 +63,7 @@
 		};
 	}
 
-	List<Digest> digests(Channel channel) {
+	private List<Digest> digests(Channel channel) {
 		return parts(channel).stream().map(Part::digest).toList();
 	}
 
@@ -94,8 +98,13 @@
 				.flatMap(delta::apply)
 				.ifPresent((part) -> known.putIfAbsent(part.digest(), part));
 		}
+		return names(parts).flatMap((names) -> document(parts, names, known, held));
+	}
+
+	private static Optional<Document> document(PeerMessage.Parts parts, List<PeerMessage.ManifestEntry.Named> names,
+			Map<Digest, Part> known, Set<Digest> held) {
 		List<Part> ordered = new ArrayList<>();
-		for (PeerMessage.PartName name : parts.manifest()) {
+		for (PeerMessage.ManifestEntry.Named name : names) {
 			Part part = known.get(name.digest());
 			if (part == null) {
 				return Optional.empty();
@@ -107,19 +116,68 @@
 					(part) -> held.contains(part.digest())));
 	}
 
-	PeerMessage.Parts reply(PeerMessage.Pull pull) {
-		List<PeerMessage.PartName> manifest = new ArrayList<>();
+	/**
+	 * Writes a manifest out in full.
+	 * @return a name and digest for each part, or empty when a step leads outside of what
+	 * is held here
+	 */
+	private Optional<List<PeerMessage.ManifestEntry.Named>> names(PeerMessage.Parts parts) {
+		List<Part> base = parts(parts.channel());
+		List<PeerMessage.ManifestEntry.Named> names = new ArrayList<>();
+		for (PeerMessage.ManifestEntry entry : parts.manifest()) {
+			switch (entry) {
+				case PeerMessage.ManifestEntry.Named named -> names.add(named);
+				case PeerMessage.ManifestEntry.Kept kept -> {
+					boolean inside = kept.from() >= 0 && kept.count() > 0 && kept.from() <= base.size() - kept.count();
+					if (!inside || names.size() > MAX_PARTS) {
+						return Optional.empty();
+					}
+					base.subList(kept.from(), kept.from() + kept.count())
+						.forEach((part) -> names.add(new PeerMessage.ManifestEntry.Named(part.name(), part.digest())));
+				}
+			}
+		}
+		return Optional.of(names);
+	}
+
+	/**
+	 * Answers a pull with what the asking node lacks.
+	 * @param pull the question
+	 * @return the document held here, or the answer that the base is not known
+	 */
+	PeerMessage reply(PeerMessage.Pull pull) {
+		Optional<List<Part>> base = pull.base().isEmpty() ? Optional.of(List.of())
+				: known(pull.channel(), pull.base().get()).map(Document::parts);
+		if (base.isEmpty()) {
+			return new PeerMessage.BaseUnknown(pull.channel());
+		}
+		Set<Digest> receiverHolds = new HashSet<>(pull.held());
+		base.get().forEach((part) -> receiverHolds.add(part.digest()));
 		List<Part> missing = new ArrayList<>();
 		List<PartDelta> deltas = new ArrayList<>();
-		Set<Digest> known = Set.copyOf(pull.held());
 		for (Part part : parts(pull.channel())) {
-			manifest.add(new PeerMessage.PartName(part.name(), part.digest()));
-			if (!known.contains(part.digest())) {
-				delta(pull.channel(), part, known).ifPresentOrElse(deltas::add, () -> missing.add(part));
+			if (!receiverHolds.contains(part.digest())) {
+				delta(pull.channel(), part, receiverHolds).ifPresentOrElse(deltas::add, () -> missing.add(part));
 			}
 		}
-		return new PeerMessage.Parts(pull.channel(), keeper(pull.channel()).held().map(Checked::version), manifest,
-				missing, deltas);
+		return new PeerMessage.Parts(pull.channel(), keeper(pull.channel()).held().map(Checked::version),
+				FormerDocuments.manifest(base.get(), parts(pull.channel())), missing, deltas);
+	}
+
+	/**
+	 * Makes the question for a later version of a document.
+	 * @param channel which document
+	 * @param listing true to name every part held instead of the document
+	 * @return the question
+	 */
+	PeerMessage.Pull pull(Channel channel, boolean listing) {
+		Optional<Digest> base = keeper(channel).held().map((held) -> held.version().digest());
+		return switch (this.distribution) {
+			case DELTAS -> new PeerMessage.Pull(channel, listing ? Optional.empty() : base,
+					listing ? digests(channel) : List.of());
+			case PARTS -> new PeerMessage.Pull(channel, Optional.empty(), digests(channel));
+			case WHOLE, POLL -> new PeerMessage.Pull(channel, Optional.empty(), List.of());
+		};
 	}
 
 	/**
@@ -144,14 +202,25 @@
 	}
 
 	private Optional<PartDelta> delta(Channel channel, Part part, Set<Digest> receiverHolds) {
-		return this.sendsDeltas ? this.former.get(channel).delta(part, receiverHolds) : Optional.empty();
+		return (this.distribution == Distribution.DELTAS) ? this.former.get(channel).delta(part, receiverHolds)
+				: Optional.empty();
+	}
+
+	/**
+	 * Finds a document that is held now or was held before.
+	 */
+	private Optional<Document> known(Channel channel, Digest digest) {
+		return keeper(channel).held()
+			.map(Checked::document)
+			.filter((document) -> document.version().digest().equals(digest))
+			.or(() -> this.former.get(channel).find(digest));
 	}
 
 	private Verdict<?> remembering(Channel channel, Supplier<Verdict<?>> offer) {
-		List<Part> replaced = parts(channel);
+		Optional<Document> replaced = keeper(channel).held().map(Checked::document);
 		Verdict<?> verdict = offer.get();
 		if (verdict instanceof Verdict.Accepted<?>) {
-			this.former.get(channel).replace(replaced, parts(channel));
+			replaced.ifPresent(this.former.get(channel)::remember);
 		}
 		return verdict;
 	}
--- a/core/src/main/java/org/eelgrasspitch/fleet/Link.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Link.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import org.eelgrasspitch.text.Channel;
-import org.eelgrasspitch.text.Version;
 
 /**
  * What a {@link FleetMember} remembers of one open link.
@@ -34,6 +33,9 @@
 	/** The latest status of the peer; null before the first. */
 	private PeerMessage.Status status;
 
+	/** Pulls in a row that the peer did not answer in time. */
+	private int unanswered;
+
 	/** Nonce of a query that still waits for a confirmed answer; 0 when none does. */
 	private long owedNonce;
 
@@ -86,13 +88,37 @@
 		PeerMessage.Status essence = latest.withAge(0);
 		boolean same = essence.equals(this.told);
 		this.told = essence;
-		return (same && latest.nonce() == 0) ? new PeerMessage.Heartbeat(latest.evidenceAgeMillis()) : latest;
+		return (same && latest.nonce() == 0) ? heartbeat(latest) : latest;
+	}
+
+	private static PeerMessage heartbeat(PeerMessage.Status status) {
+		return new PeerMessage.Heartbeat(status.evidenceAgeMillis(), status.revision(Channel.TEXT),
+				status.revision(Channel.VMS));
+	}
+
+	/**
+	 * Completes a heartbeat by the status that it refers to.
+	 * @return the status now, or empty when the one it refers to did not arrive here
+	 */
+	Optional<PeerMessage.Status> status(PeerMessage.Heartbeat heartbeat) {
+		return status()
+			.filter((former) -> former.revision(Channel.TEXT) == heartbeat.textRevision()
+					&& former.revision(Channel.VMS) == heartbeat.vmsRevision())
+			.map((former) -> former.withAge(heartbeat.evidenceAgeMillis()));
 	}
 
 	boolean isDue(long now, long intervalMillis) {
 		return now - this.toldAt >= intervalMillis;
 	}
 
+	int unanswered() {
+		return this.unanswered;
+	}
+
+	void pullEnded(boolean answered) {
+		this.unanswered = answered ? 0 : this.unanswered + 1;
+	}
+
 	void owe(long nonce) {
 		this.owedNonce = nonce;
 	}
@@ -111,7 +137,7 @@
 	 * Returns the revision that the peer last said it holds.
 	 */
 	long revision(Channel channel) {
-		return status().flatMap((latest) -> latest.version(channel)).map(Version::revision).orElse(0L);
+		return status().map((latest) -> latest.revision(channel)).orElse(0L);
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/LinkTable.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/LinkTable.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -88,13 +89,16 @@
 	}
 
 	/**
-	 * Returns the link whose peer holds the highest revision above a bound.
+	 * Returns the link to ask for a document: of those whose peer holds a revision above
+	 * a bound the one with the fewest questions left unanswered, then the one with the
+	 * highest revision. A peer may be heard and not hear.
 	 */
 	Optional<Link> best(Channel channel, long aboveRevision) {
 		return this.links.values()
 			.stream()
 			.filter((link) -> link.revision(channel) > aboveRevision)
-			.max((left, right) -> Long.compare(left.revision(channel), right.revision(channel)));
+			.min(Comparator.comparingInt(Link::unanswered)
+				.thenComparing(Comparator.comparingLong((Link link) -> link.revision(channel)).reversed()));
 	}
 
 	/**
--- a/core/src/main/java/org/eelgrasspitch/fleet/PeerMessage.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/PeerMessage.java
@@ -50,16 +50,28 @@
 			return (channel == Channel.TEXT) ? this.text : this.vms;
 		}
 
+		/**
+		 * Returns the revision of a document.
+		 * @param channel which document
+		 * @return the revision held; 0 before the first
+		 */
+		public long revision(Channel channel) {
+			return version(channel).map(Version::revision).orElse(0L);
+		}
+
 	}
 
 	/**
 	 * Says that the sender's state is as in the last {@link Status} that it sent over the
 	 * same link, but for the age of its evidence. Most heartbeats are of this kind, and a
-	 * reader sends one to every node of its failure domain every other second.
+	 * reader sends one to every node of its failure domain every other second. A receiver
+	 * that does not remember such a status asks for it.
 	 *
 	 * @param evidenceAgeMillis as in {@link Status}
+	 * @param textRevision revision of the text in that status; 0 when none
+	 * @param vmsRevision revision of the VM list in that status; 0 when none
 	 */
-	record Heartbeat(long evidenceAgeMillis) implements PeerMessage {
+	record Heartbeat(long evidenceAgeMillis, long textRevision, long vmsRevision) implements PeerMessage {
 
 	}
 
@@ -76,9 +88,11 @@
 	 * Asks for the document that the receiver holds.
 	 *
 	 * @param channel which document
-	 * @param held digests of the parts that the sender has already
+	 * @param base digest of the document that the sender holds; empty when it holds none,
+	 * or when the receiver did not know it
+	 * @param held digests of the parts that the sender has already; empty with a base
 	 */
-	record Pull(Channel channel, List<Digest> held) implements PeerMessage {
+	record Pull(Channel channel, Optional<Digest> base, List<Digest> held) implements PeerMessage {
 
 	}
 
@@ -87,22 +101,49 @@
 	 *
 	 * @param channel which document
 	 * @param version the version sent; empty when the sender holds none
-	 * @param manifest names and digests of all parts in order
+	 * @param manifest all parts in order
 	 * @param parts parts that the receiver lacked
 	 * @param deltas further parts that it lacked, as changes of parts that it holds
 	 */
-	record Parts(Channel channel, Optional<Version> version, List<PartName> manifest, List<Part> parts,
+	record Parts(Channel channel, Optional<Version> version, List<ManifestEntry> manifest, List<Part> parts,
 			List<PartDelta> deltas) implements PeerMessage {
 
 	}
 
 	/**
-	 * Names a part within a manifest.
+	 * Answers a {@link Pull} whose base the sender does not know. The receiver asks again
+	 * with the digests of its parts.
 	 *
-	 * @param name the part's name
-	 * @param digest the part's digest
+	 * @param channel which document
+	 */
+	record BaseUnknown(Channel channel) implements PeerMessage {
+
+	}
+
+	/**
+	 * One step of a manifest.
 	 */
-	record PartName(String name, Digest digest) {
+	sealed interface ManifestEntry {
+
+		/**
+		 * Names a part.
+		 *
+		 * @param name the part's name
+		 * @param digest the part's digest
+		 */
+		record Named(String name, Digest digest) implements ManifestEntry {
+
+		}
+
+		/**
+		 * Takes parts over from the base of the pull.
+		 *
+		 * @param from index of the first
+		 * @param count how many
+		 */
+		record Kept(int from, int count) implements ManifestEntry {
+
+		}
 
 	}
 
--- a/core/src/main/java/org/eelgrasspitch/fleet/Puller.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Puller.java
@@ -2,15 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.text.Channel;
 
 /**
  * Asks peers for documents that are newer than those held: one question a channel at a
- * time, to the peer that holds the highest revision, given up after a bound.
+ * time, given up after a bound. Whoever left a question unanswered is asked after the
+ * others.
  */
 final class Puller {
 
@@ -20,11 +22,11 @@
 
 	private final LinkTable links;
 
-	/**
-	 * When the pull of a channel is given up, in monotonic milliseconds; absent when
-	 * idle.
-	 */
-	private final Map<Channel, Long> pulls = new EnumMap<>(Channel.class);
+	/** The open question of each channel; absent when there is none. */
+	private final Map<Channel, Pending> pulls = new EnumMap<>(Channel.class);
+
+	/** Channels whose next question lists the parts held. */
+	private final Set<Channel> listed = EnumSet.noneOf(Channel.class);
 
 	Puller(FleetSettings settings, Holdings holdings, LinkTable links) {
 		this.settings = settings;
@@ -39,7 +41,7 @@
 	 * @return the questions
 	 */
 	List<FleetEffect> pullIfBehind(boolean gated, long now) {
-		this.pulls.values().removeIf((deadline) -> now >= deadline);
+		expire(now);
 		List<FleetEffect> effects = new ArrayList<>();
 		for (Channel channel : Channel.values()) {
 			boolean mayAsk = !this.pulls.containsKey(channel) && !(gated && channel == Channel.TEXT);
@@ -56,18 +58,55 @@
 	 * @return false when no question was open
 	 */
 	boolean answered(Channel channel) {
-		return this.pulls.remove(channel) != null;
+		Pending pending = this.pulls.remove(channel);
+		if (pending == null) {
+			return false;
+		}
+		this.links.link(pending.link()).ifPresent((link) -> link.pullEnded(true));
+		return true;
 	}
 
 	void clear() {
 		this.pulls.clear();
 	}
 
+	/**
+	 * Takes note that a peer does not know the document held here and asks again with a
+	 * list of its parts.
+	 * @param channel which document
+	 * @param gated true while no text may be taken yet
+	 * @param now current monotonic time in milliseconds
+	 * @return the questions
+	 */
+	List<FleetEffect> list(Channel channel, boolean gated, long now) {
+		if (answered(channel)) {
+			this.listed.add(channel);
+		}
+		return pullIfBehind(gated, now);
+	}
+
+	private void expire(long now) {
+		for (Pending pending : List.copyOf(this.pulls.values())) {
+			if (now >= pending.deadlineAt()) {
+				this.pulls.values().remove(pending);
+				this.links.link(pending.link()).ifPresent((link) -> link.pullEnded(false));
+			}
+		}
+	}
+
 	private FleetEffect ask(Link link, Channel channel, long now) {
-		this.pulls.put(channel, now + this.settings.pullMillis());
-		List<Digest> held = (this.settings.distribution() == Distribution.WHOLE) ? List.of()
-				: this.holdings.digests(channel);
-		return new FleetEffect.Send(link.id(), new PeerMessage.Pull(channel, held));
+		this.pulls.put(channel, new Pending(link.id(), now + this.settings.pullMillis()));
+		return new FleetEffect.Send(link.id(), this.holdings.pull(channel, this.listed.remove(channel)));
+	}
+
+	/**
+	 * A question that waits for its answer.
+	 *
+	 * @param link number of the link
+	 * @param deadlineAt when it is given up, in monotonic milliseconds
+	 */
+	private record Pending(long link, long deadlineAt) {
+
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/ExchangeTests.java
@@ -0,0 +1,175 @@
+package org.eelgrasspitch;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.fleet.FleetEffect;
+import org.eelgrasspitch.fleet.FleetEvent;
+import org.eelgrasspitch.fleet.FleetMember;
+import org.eelgrasspitch.fleet.FleetSettings;
+import org.eelgrasspitch.fleet.Peer;
+import org.eelgrasspitch.fleet.PeerMessage;
+import org.eelgrasspitch.text.Channel;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Two members exchange texts that change at random from a fixed seed: one hears the
+ * platform, the other only the first, and hears nothing for up to six versions in a row.
+ * The other must hold exactly what the first holds, whether it got changes, parts, or had
+ * to list what it has.
+ */
+public class ExchangeTests {
+
+	private static final long SEED = 20_261_203;
+
+	private static final int VERSIONS = 400;
+
+	private static final long STEP_MILLIS = 500;
+
+	private static final int MAX_MISSED = 6;
+
+	/** Lists only the first member, so that the other never reads for both. */
+	private static final String VMS = """
+			{"vms": [{"name": "vm-0", "failureDomain": "a", "service": "s", "address": "127.0.0.1:1",
+			 "state": "live"}]}""";
+
+	private final SplittableRandom random = new SplittableRandom(SEED);
+
+	/** Services of the present text and their slots. */
+	private final List<Integer> slots = new ArrayList<>(List.of(1, 2, 3, 4, 5, 6, 7, 8));
+
+	/** Messages under way to the first and to the second member. */
+	private final List<Deque<PeerMessage>> wires = List.of(new ArrayDeque<>(), new ArrayDeque<>());
+
+	private final List<FleetMember> members = List.of(member(0), member(1));
+
+	private long revision;
+
+	private long now;
+
+	private int deltas;
+
+	private int unknownBases;
+
+	@Test
+	public void followerHoldsWhatTheReaderHolds() {
+		open(0, false);
+		open(1, true);
+		int missing = 0;
+		for (int version = 0; version < VERSIONS; version++) {
+			this.now += STEP_MILLIS;
+			change();
+			missing = (missing > 0) ? missing - 1 : Math.max(0, this.random.nextInt(3 * MAX_MISSED) - 2 * MAX_MISSED);
+			run(missing == 0);
+			if (missing == 0) {
+				Assert.assertEquals(this.members.get(1).view(this.now).text(),
+						this.members.get(0).view(this.now).text());
+			}
+		}
+		Assert.assertTrue(this.deltas > 0, "changes of parts were sent");
+		Assert.assertTrue(this.unknownBases > 0, "a base was not known");
+	}
+
+	private void change() {
+		this.revision++;
+		switch (this.random.nextInt(4)) {
+			case 0 -> this.slots.add(this.random.nextInt(this.slots.size()), 1);
+			case 1 -> this.slots.remove(this.random.nextInt(this.slots.size() - 1));
+			default -> this.slots.set(this.random.nextInt(this.slots.size()), 1 + this.random.nextInt(9_000));
+		}
+		if (this.slots.size() < 4) {
+			this.slots.addAll(List.of(1, 2, 3, 4));
+		}
+	}
+
+	private void run(boolean connected) {
+		handle(0, new FleetEvent.Ticked());
+		if (!connected) {
+			return;
+		}
+		for (int round = 0; round < 2; round++) {
+			this.now += STEP_MILLIS;
+			handle(0, new FleetEvent.Ticked());
+			handle(1, new FleetEvent.Ticked());
+			deliver();
+		}
+	}
+
+	private void deliver() {
+		while (this.wires.stream().anyMatch((wire) -> !wire.isEmpty())) {
+			for (int index = 0; index < 2; index++) {
+				while (!this.wires.get(index).isEmpty()) {
+					handle(index, new FleetEvent.Received(1, this.wires.get(index).remove()));
+				}
+			}
+		}
+	}
+
+	private void open(int index, boolean outbound) {
+		Peer other = peer(1 - index);
+		handle(index, new FleetEvent.LinkOpened(1, other, outbound, outbound ? other.address() : null));
+	}
+
+	private void handle(int index, FleetEvent event) {
+		for (FleetEffect effect : this.members.get(index).handle(event, this.now)) {
+			if (effect instanceof FleetEffect.Send send && send.link() == 1) {
+				count(send.message());
+				this.wires.get(1 - index).add(send.message());
+			}
+			if (effect instanceof FleetEffect.CallPlatform call) {
+				handle(index, answer(index, call));
+			}
+		}
+	}
+
+	private void count(PeerMessage message) {
+		if (message instanceof PeerMessage.Parts parts && !parts.deltas().isEmpty()) {
+			this.deltas++;
+		}
+		if (message instanceof PeerMessage.BaseUnknown) {
+			this.unknownBases++;
+		}
+	}
+
+	private FleetEvent answer(int index, FleetEffect.CallPlatform call) {
+		if (index == 1) {
+			return new FleetEvent.PlatformFailed(call.channel(), call.sequence());
+		}
+		long latest = (call.channel() == Channel.TEXT) ? this.revision : 1;
+		if (call.afterRevision() >= latest) {
+			return new FleetEvent.PlatformUnchanged(call.channel(), call.sequence(), latest);
+		}
+		byte[] content = (call.channel() == Channel.TEXT) ? text() : VMS.getBytes(StandardCharsets.UTF_8);
+		return new FleetEvent.PlatformServed(call.channel(), call.sequence(), latest, content);
+	}
+
+	private byte[] text() {
+		List<String> services = new ArrayList<>();
+		for (int index = 0; index < this.slots.size(); index++) {
+			services.add(("{\"name\": \"service-%d\", \"slots\": %d, \"connections\": 100, \"operations\": [{\"name\": "
+					+ "\"read-with-a-long-name\", \"kind\": \"idempotent\", \"deadlineMillis\": 99}]}")
+				.formatted(index, this.slots.get(index)));
+		}
+		return ("{\"mesh\": \"m\", \"failureDomains\": [\"a\"], \"services\": [" + String.join(",", services) + "]}")
+			.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private FleetMember member(int index) {
+		List<InetSocketAddress> seeds = (index == 0) ? List.of() : List.of(peer(0).address());
+		Distribution distribution = Distribution.DELTAS;
+		FleetSettings settings = FleetSettings.of(peer(index), seeds, distribution).withPauseMillis(Long.MAX_VALUE);
+		return new FleetMember(settings, new SplittableRandom(SEED + index), 0);
+	}
+
+	private static Peer peer(int index) {
+		return new Peer("vm-" + index, "a", new InetSocketAddress("127.0.0.1", 1 + index), 1);
+	}
+
+}
--- a/core/src/test/java/org/eelgrasspitch/FleetScript.java
+++ b/core/src/test/java/org/eelgrasspitch/FleetScript.java
@@ -159,9 +159,10 @@
 
 	private static PeerMessage.Parts parts(long revision, int damage) {
 		Document document = document(revision);
-		return new PeerMessage.Parts(Channel.TEXT, Optional.of(document.version()),
-				document.parts().stream().map((part) -> new PeerMessage.PartName(part.name(), part.digest())).toList(),
-				document.parts().subList(damage, document.parts().size()), List.of());
+		return new PeerMessage.Parts(Channel.TEXT, Optional.of(document.version()), document.parts()
+			.stream().<PeerMessage
+					.ManifestEntry>map((part) -> new PeerMessage.ManifestEntry.Named(part.name(), part.digest()))
+			.toList(), document.parts().subList(damage, document.parts().size()), List.of());
 	}
 
 	private static Document document(long revision) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/ConfigMeasurement.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/ConfigMeasurement.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -85,6 +86,25 @@
 		}
 	}
 
+	/**
+	 * Measures a deployment that stands in files; its changes alter the slots of the
+	 * first service.
+	 * @param files directory of the deployment
+	 * @param directory an empty directory for logs
+	 * @param progress receives a line now and then
+	 * @return the result
+	 */
+	public static Result run(Path files, Path directory, PrintStream progress) {
+		Deployment deployment = Deployment.read(files);
+		String text = new String(deployment.text(), StandardCharsets.UTF_8);
+		TextSource texts = (slots) -> text.replaceFirst("\"slots\": \\d+", "\"slots\": " + slots)
+			.getBytes(StandardCharsets.UTF_8);
+		Plan plan = new Plan(deployment.members().size(), 0, 0, 0, 0, Distribution.DELTAS, 0);
+		try (Cluster cluster = new Cluster(deployment, directory)) {
+			return new ConfigMeasurement(plan, deployment, texts, directory, cluster).run(progress);
+		}
+	}
+
 	private Result run(PrintStream progress) {
 		progress.printf("%d nodes, %s: starting%n", this.plan.nodes(), this.plan.distribution());
 		byte[] first = this.texts.text(DeploymentWriter.DEFAULT_SLOTS);
--- a/wire/src/main/java/org/eelgrasspitch/wire/FleetCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/FleetCodec.java
@@ -11,11 +11,12 @@
 import org.eelgrasspitch.text.Part;
 import org.eelgrasspitch.text.PartDelta;
 import org.eelgrasspitch.text.Version;
+import org.eelgrasspitch.wire.generated.WireBaseUnknown;
 import org.eelgrasspitch.wire.generated.WireDelta;
 import org.eelgrasspitch.wire.generated.WireHeartbeat;
+import org.eelgrasspitch.wire.generated.WireManifestEntry;
 import org.eelgrasspitch.wire.generated.WireMessage;
 import org.eelgrasspitch.wire.generated.WirePart;
-import org.eelgrasspitch.wire.generated.WirePartName;
 import org.eelgrasspitch.wire.generated.WireParts;
 import org.eelgrasspitch.wire.generated.WirePull;
 import org.eelgrasspitch.wire.generated.WireQuery;
@@ -33,10 +34,12 @@
 		return switch (message) {
 			case PeerMessage.Status status -> WireMessage.status(wire(status));
 			case PeerMessage.Heartbeat heartbeat ->
-				WireMessage.heartbeat(new WireHeartbeat(heartbeat.evidenceAgeMillis()));
+				WireMessage.heartbeat(new WireHeartbeat(heartbeat.evidenceAgeMillis(), heartbeat.textRevision(),
+						heartbeat.vmsRevision()));
 			case PeerMessage.Query query -> WireMessage.query(new WireQuery(query.nonce()));
-			case PeerMessage.Pull pull -> WireMessage.pull(new WirePull(pull.channel().ordinal(),
-					pull.held().stream().map((digest) -> ByteBuffer.wrap(digest.bytes())).toList()));
+			case PeerMessage.Pull pull -> WireMessage.pull(wire(pull));
+			case PeerMessage.BaseUnknown unknown ->
+				WireMessage.baseUnknown(new WireBaseUnknown(unknown.channel().ordinal()));
 			case PeerMessage.Parts parts -> WireMessage.parts(wire(parts));
 		};
 	}
@@ -44,9 +47,11 @@
 	PeerMessage message(WireMessage message) throws MalformedFrameException {
 		return switch (message.getSetField()) {
 			case STATUS -> status(message.getStatus());
-			case HEARTBEAT -> new PeerMessage.Heartbeat(message.getHeartbeat().getEvidenceAgeMillis());
+			case HEARTBEAT -> heartbeat(message.getHeartbeat());
 			case QUERY -> new PeerMessage.Query(message.getQuery().getNonce());
 			case PULL -> pull(message.getPull());
+			case BASE_UNKNOWN -> new PeerMessage.BaseUnknown(
+					FrameCodec.constant(Channel.values(), message.getBaseUnknown().getChannel()));
 			case PARTS -> parts(message.getParts());
 			default -> throw new MalformedFrameException("not about documents: " + message.getSetField());
 		};
@@ -65,17 +70,30 @@
 	}
 
 	private WireParts wire(PeerMessage.Parts parts) {
-		List<WirePartName> manifest = parts.manifest()
-			.stream()
-			.map((name) -> new WirePartName(name.name(), ByteBuffer.wrap(name.digest().bytes())))
-			.toList();
-		WireParts wire = new WireParts(parts.channel().ordinal(), manifest,
+		WireParts wire = new WireParts(parts.channel().ordinal(),
+				parts.manifest().stream().map(FleetCodec::wire).toList(),
 				parts.parts().stream().map(this::wire).toList(),
 				parts.deltas().stream().map(FleetCodec::wire).toList());
 		parts.version().ifPresent((version) -> wire.setVersion(wire(version)));
 		return wire;
 	}
 
+	private static WirePull wire(PeerMessage.Pull pull) {
+		WirePull wire = new WirePull(pull.channel().ordinal(),
+				pull.held().stream().map((digest) -> ByteBuffer.wrap(digest.bytes())).toList());
+		pull.base().ifPresent((base) -> wire.setBase(base.bytes()));
+		return wire;
+	}
+
+	private static WireManifestEntry wire(PeerMessage.ManifestEntry entry) {
+		return switch (entry) {
+			case PeerMessage.ManifestEntry.Named named ->
+				new WireManifestEntry().setName(named.name()).setDigest(named.digest().bytes());
+			case PeerMessage.ManifestEntry.Kept kept ->
+				new WireManifestEntry().setKept(kept.from()).setCount(kept.count());
+		};
+	}
+
 	private WirePart wire(Part part) {
 		return new WirePart(part.name(), ByteBuffer.wrap(part.digest().bytes()), part.content().length,
 				ByteBuffer.wrap(this.compressor.compress(part)));
@@ -99,6 +117,11 @@
 		return Optional.of(new Version(version.getRevision(), FrameCodec.digest(version.getDigest())));
 	}
 
+	private static PeerMessage heartbeat(WireHeartbeat heartbeat) {
+		return new PeerMessage.Heartbeat(heartbeat.getEvidenceAgeMillis(), heartbeat.getTextRevision(),
+				heartbeat.getVmsRevision());
+	}
+
 	private static PeerMessage pull(WirePull pull) throws MalformedFrameException {
 		List<Digest> held = new ArrayList<>();
 		for (ByteBuffer digest : pull.getHeld()) {
@@ -106,13 +129,14 @@
 			digest.duplicate().get(bytes);
 			held.add(FrameCodec.digest(bytes));
 		}
-		return new PeerMessage.Pull(FrameCodec.constant(Channel.values(), pull.getChannel()), held);
+		Optional<Digest> base = pull.isSetBase() ? Optional.of(FrameCodec.digest(pull.getBase())) : Optional.empty();
+		return new PeerMessage.Pull(FrameCodec.constant(Channel.values(), pull.getChannel()), base, held);
 	}
 
 	private static PeerMessage parts(WireParts parts) throws MalformedFrameException {
-		List<PeerMessage.PartName> manifest = new ArrayList<>();
-		for (WirePartName name : parts.getManifest()) {
-			manifest.add(new PeerMessage.PartName(name.getName(), FrameCodec.digest(name.getDigest())));
+		List<PeerMessage.ManifestEntry> manifest = new ArrayList<>();
+		for (WireManifestEntry entry : parts.getManifest()) {
+			manifest.add(entry(entry));
 		}
 		List<Part> received = new ArrayList<>();
 		for (WirePart part : parts.getParts()) {
@@ -127,6 +151,16 @@
 				version(parts.isSetVersion(), parts.getVersion()), manifest, received, deltas);
 	}
 
+	private static PeerMessage.ManifestEntry entry(WireManifestEntry entry) throws MalformedFrameException {
+		if (entry.isSetName() && entry.isSetDigest()) {
+			return new PeerMessage.ManifestEntry.Named(entry.getName(), FrameCodec.digest(entry.getDigest()));
+		}
+		if (entry.isSetKept() && entry.isSetCount()) {
+			return new PeerMessage.ManifestEntry.Kept(entry.getKept(), entry.getCount());
+		}
+		throw new MalformedFrameException("manifest entry is neither a part nor a run");
+	}
+
 	private static PartDelta delta(WireDelta delta) throws MalformedFrameException {
 		long length = (long) delta.getKept() + delta.getKeptEnd() + delta.getMiddle().length;
 		if (delta.getKept() < 0 || delta.getKeptEnd() < 0 || length > WireLimits.MAX_PART_BYTES) {
--- a/wire/src/main/java/org/eelgrasspitch/wire/FrameCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/FrameCodec.java
@@ -73,7 +73,7 @@
 		}
 		return switch (message.getSetField()) {
 			case HELLO -> hello(message.getHello());
-			case STATUS, HEARTBEAT, QUERY, PULL, PARTS -> new Frame.Fleet(this.fleet.message(message));
+			case STATUS, HEARTBEAT, QUERY, PULL, BASE_UNKNOWN, PARTS -> new Frame.Fleet(this.fleet.message(message));
 			case REQUEST, REPLY, CANCEL, TICKET_QUERY, TICKETS, OUTCOME_QUERY, DEATH_NOTICE, NOTED ->
 				new Frame.Call(this.call.message(message));
 		};
--- a/wire/src/main/thrift/eelgrasspitch.thrift
+++ b/wire/src/main/thrift/eelgrasspitch.thrift
@@ -33,16 +33,27 @@
 // The sender's state is as in its last status, but for the age.
 struct WireHeartbeat {
   1: required i64 evidenceAgeMillis
+  2: required i64 textRevision
+  3: required i64 vmsRevision
 }
 
 struct WirePull {
   1: required i32 channel
   2: required list<binary> held
+  // Digest of the document that the sender holds.
+  3: optional binary base
 }
 
-struct WirePartName {
-  1: required string name
-  2: required binary digest
+struct WireBaseUnknown {
+  1: required i32 channel
+}
+
+// Either a name with a digest, or a run of parts of the base.
+struct WireManifestEntry {
+  1: optional string name
+  2: optional binary digest
+  3: optional i32 kept
+  4: optional i32 count
 }
 
 struct WirePart {
@@ -68,7 +79,7 @@
 struct WireParts {
   1: required i32 channel
   2: optional WireVersion version
-  3: required list<WirePartName> manifest
+  3: required list<WireManifestEntry> manifest
   4: required list<WirePart> parts
   5: required list<WireDelta> deltas
 }
@@ -150,4 +161,5 @@
   12: WireDeathNotice deathNotice
   13: WireNoted noted
   14: WireHeartbeat heartbeat
+  15: WireBaseUnknown baseUnknown
 }
--- a/wire/src/test/java/org/eelgrasspitch/wire/FrameCodecTests.java
+++ b/wire/src/test/java/org/eelgrasspitch/wire/FrameCodecTests.java
@@ -84,11 +84,13 @@
 		frames.add(new Frame.Hello(new Peer("vm", "fd", ADDRESS, 9), Purpose.CALL));
 		frames.add(new Frame.Fleet(new PeerMessage.Status(version, Optional.empty(), 5, 6, true, 8)));
 		frames.add(new Frame.Fleet(new PeerMessage.Query(3)));
-		frames.add(new Frame.Fleet(new PeerMessage.Pull(Channel.VMS, List.of(DIGEST))));
+		frames.add(new Frame.Fleet(new PeerMessage.Pull(Channel.VMS, Optional.empty(), List.of(DIGEST))));
+		frames.add(new Frame.Fleet(new PeerMessage.Pull(Channel.VMS, Optional.of(DIGEST), List.of())));
+		frames.add(new Frame.Fleet(new PeerMessage.BaseUnknown(Channel.TEXT)));
 		frames.add(new Frame.Fleet(new PeerMessage.Parts(Channel.TEXT, version,
-				List.of(new PeerMessage.PartName("p", DIGEST)), List.of(Part.of("p", new byte[50])),
-				List.of(new PartDelta("q", DIGEST, DIGEST, 3, 4, new byte[5])))));
-		frames.add(new Frame.Fleet(new PeerMessage.Heartbeat(-1)));
+				List.of(new PeerMessage.ManifestEntry.Named("p", DIGEST), new PeerMessage.ManifestEntry.Kept(3, 4)),
+				List.of(Part.of("p", new byte[50])), List.of(new PartDelta("q", DIGEST, DIGEST, 3, 4, new byte[5])))));
+		frames.add(new Frame.Fleet(new PeerMessage.Heartbeat(-1, 5, 6)));
 		frames.add(new Frame.Call(new CallMessage.Request(1, "id", route, 100, Optional.of(ticket), Optional.of(DIGEST),
 				headers, new byte[9], 4)));
 		frames.add(new Frame.Call(new CallMessage.Reply(1, new CallOutcome.Answered(200, headers, new byte[9]), 4)));
