--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/ChangeSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/ChangeSteps.java
@@ -12,6 +12,7 @@
 import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
 import org.eelgrasspitch.testkit.Json;
+import org.eelgrasspitch.testkit.MetricsReader;
 import org.testng.Assert;
 
 /**
@@ -57,6 +58,22 @@
 		}
 	}
 
+	@When("an operator publishes a change written against another text")
+	public void race() {
+		this.world.publishRaced();
+	}
+
+	@Then("at least {int} node(s) reported the race")
+	public void raceReported(int least) {
+		double reports = 0;
+		for (String vm : this.world.cluster().vms()) {
+			reports += MetricsReader.sum(this.world.caller(),
+					this.world.cluster().deployment().member(vm).settings().operatorAddress(),
+					"eelgrasspitch_events_total", "event=\"base_mismatch\"");
+		}
+		Assert.assertTrue(reports >= least, reports + " reports");
+	}
+
 	@Then("no node ever had a route to a service that it lacked")
 	public void noneDangling() {
 		Assert.assertTrue(this.read > 0, "no routes were read");
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -17,6 +17,7 @@
 import java.util.regex.Pattern;
 
 import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.Deployment;
 import org.eelgrasspitch.testkit.DeploymentWriter;
@@ -172,6 +173,16 @@
 		});
 	}
 
+	/**
+	 * Publishes a change that was written against a text which is not in force.
+	 */
+	void publishRaced() {
+		this.slots++;
+		String text = new String(this.writer.text(this.slots, 0, 0), StandardCharsets.UTF_8);
+		String base = "{\"base\": \"%s\", ".formatted(Digest.of(new byte[0]).hex());
+		this.latest = publish(text.replaceFirst("\\{", base).getBytes(StandardCharsets.UTF_8));
+	}
+
 	void publishBad(byte[] text) {
 		this.badRevision = publish(text);
 	}
--- a/scenarios/src/test/resources/features/configuration.feature
+++ b/scenarios/src/test/resources/features/configuration.feature
@@ -170,3 +170,11 @@
     And every answer belonged to its own request and was whole
     And within 13 seconds every node holds the latest revision
     And no node ever moved back
+
+  Scenario: Operators race: the later text wins everywhere and the race is reported
+    Given a mesh of 6 nodes in 3 failure domains
+    When the operators publish a change
+    And an operator publishes a change written against another text
+    Then within 13 seconds every node holds the latest revision
+    And at least 1 node reported the race
+    And no node ever moved back
