Call one piece of code where the change had written two

Cause: a reading of the whole change. Found and mended, behaviour unchanged:

- The start of a cluster with platform, targets and nodes, the check that all nodes satisfy a condition, and the wait for a scheduled time stood in two or three measurements; they are Cluster.startServing, requireAll, sleepUntil.
- Three loops printed results of measurements; one prints them.
The one for configurations again prints each JSON line when its run ends.
- Reading a JSON document with status 200 stood in four places: HttpCaller.read.
Deployment.ofService existed, unused, while four steps filtered by service; World.vmsOfService calls it.
Metrics added up over all nodes and the wait for serving stood in several steps as well.
- "Leaving or stopped" was written three times: LifeState.isLeaving.
Words of constants: Outcomes.word; the log lower-cased them a second time for every line.
Optional words of the settings and the text: Fields.word with a value for a missing member.
Three copies of a constructor call with 15 arguments in FleetSettings are one.

Ruled out: merging the generated Thrift classes, which the generator repeats.

--- a/cli/src/main/java/org/eelgrasspitch/cli/Fleet.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Fleet.java
@@ -13,7 +13,6 @@
 import org.eelgrasspitch.node.StatusReport;
 import org.eelgrasspitch.testkit.Deployment;
 import org.eelgrasspitch.testkit.HttpCaller;
-import org.eelgrasspitch.testkit.Json;
 
 /**
  * The nodes that a command asks, by their operators' ports.
@@ -22,8 +21,6 @@
 
 	private static final long TIMEOUT_MILLIS = 2_000;
 
-	private static final int OK = 200;
-
 	private final HttpCaller caller = new HttpCaller(TIMEOUT_MILLIS);
 
 	private final List<InetSocketAddress> addresses;
@@ -59,15 +56,11 @@
 	}
 
 	Optional<StatusReport> status(InetSocketAddress address) {
-		return this.caller.get(address, "/status")
-			.filter((answer) -> answer.status() == OK)
-			.map((answer) -> Json.read(answer.body(), StatusReport.class));
+		return this.caller.read(address, "/status", StatusReport.class);
 	}
 
 	Optional<BurnRow[]> burn(InetSocketAddress address) {
-		return this.caller.get(address, "/burn")
-			.filter((answer) -> answer.status() == OK)
-			.map((answer) -> Json.read(answer.body(), BurnRow[].class));
+		return this.caller.read(address, "/burn", BurnRow[].class);
 	}
 
 	@Override
--- a/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/MeasureCommand.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -81,66 +83,60 @@
 	}
 
 	private static int requests(Namespace arguments) {
-		boolean json = arguments.getBoolean("json");
 		int seconds = arguments.getInt("seconds");
-		List<RequestMeasurement.Result> results = new ArrayList<>();
-		int octet = FIRST_OCTET;
+		List<Supplier<RequestMeasurement.Result>> runs = new ArrayList<>();
 		for (Integer calls : arguments.<Integer>getList("calls")) {
-			RequestMeasurement.Plan plan = new RequestMeasurement.Plan(calls, seconds, seconds, octet++);
-			RequestMeasurement.Result result = RequestMeasurement.run(plan, directory(), System.err);
-			results.add(result);
-			if (json) {
-				System.out.println(Json.write(result));
-			}
-		}
-		if (!json) {
-			System.out.println(RequestMeasurement.Result.heading());
-			results.forEach((result) -> System.out.println(result.row()));
+			RequestMeasurement.Plan plan = new RequestMeasurement.Plan(calls, seconds, seconds,
+					FIRST_OCTET + runs.size());
+			runs.add(() -> RequestMeasurement.run(plan, directory(), System.err));
 		}
-		return ExitCode.OK;
+		return print(arguments, runs, RequestMeasurement.Result.heading(), RequestMeasurement.Result::row);
 	}
 
 	private static int overload(Namespace arguments) {
-		boolean json = arguments.getBoolean("json");
-		List<OverloadMeasurement.Result> results = new ArrayList<>();
-		int octet = FIRST_OCTET;
-		for (String guards : arguments.<String>getList("guards")) {
-			OverloadMeasurement.Result result = OverloadMeasurement.run(Guards.valueOf(guards.toUpperCase(Locale.ROOT)),
-					octet++, directory(), System.err);
-			results.add(result);
-			if (json) {
-				System.out.println(Json.write(result));
-			}
+		List<Supplier<OverloadMeasurement.Result>> runs = new ArrayList<>();
+		for (String word : arguments.<String>getList("guards")) {
+			Guards guards = Guards.valueOf(word.toUpperCase(Locale.ROOT));
+			int octet = FIRST_OCTET + runs.size();
+			runs.add(() -> OverloadMeasurement.run(guards, octet, directory(), System.err));
 		}
-		if (!json) {
-			System.out.println(OverloadMeasurement.Result.heading());
-			results.forEach((result) -> System.out.println(result.rows()));
-		}
-		return ExitCode.OK;
+		return print(arguments, runs, OverloadMeasurement.Result.heading(), OverloadMeasurement.Result::rows);
 	}
 
 	private static int config(Namespace arguments) {
-		boolean json = arguments.getBoolean("json");
-		List<ConfigMeasurement.Result> results = new ArrayList<>();
-		int octet = FIRST_OCTET;
+		List<Supplier<ConfigMeasurement.Result>> runs = new ArrayList<>();
 		for (String deployment : arguments.<String>getList("deployment")) {
-			results.add(ConfigMeasurement.run(Path.of(deployment), directory(), System.err));
+			runs.add(() -> ConfigMeasurement.run(Path.of(deployment), directory(), System.err));
 		}
+		int octet = FIRST_OCTET;
 		for (Integer nodes : arguments.<Integer>getList("nodes")) {
 			for (String distribution : arguments.<String>getList("distribution")) {
 				ConfigMeasurement.Plan plan = new ConfigMeasurement.Plan(nodes, arguments.getInt("failure_domains"),
 						arguments.getInt("services"), arguments.getInt("operations"), arguments.getInt("name_length"),
 						Distribution.valueOf(distribution.toUpperCase(Locale.ROOT)), octet++);
-				ConfigMeasurement.Result result = ConfigMeasurement.run(plan, directory(), System.err);
-				results.add(result);
+				runs.add(() -> ConfigMeasurement.run(plan, directory(), System.err));
 			}
 		}
-		if (json) {
-			results.forEach((result) -> System.out.println(Json.write(result)));
+		return print(arguments, runs, ConfigMeasurement.Result.heading(), ConfigMeasurement.Result::row);
+	}
+
+	/**
+	 * Carries out measurements and prints their results: JSON lines one by one, the table
+	 * at the end.
+	 */
+	private static <R> int print(Namespace arguments, List<Supplier<R>> runs, String heading, Function<R, String> row) {
+		boolean json = arguments.getBoolean("json");
+		List<R> results = new ArrayList<>();
+		for (Supplier<R> run : runs) {
+			R result = run.get();
+			results.add(result);
+			if (json) {
+				System.out.println(Json.write(result));
+			}
 		}
-		else {
-			System.out.println(ConfigMeasurement.Result.heading());
-			results.forEach((result) -> System.out.println(result.row()));
+		if (!json) {
+			System.out.println(heading);
+			results.forEach((result) -> System.out.println(row.apply(result)));
 		}
 		return ExitCode.OK;
 	}
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -462,10 +462,9 @@
 	}
 
 	private void tell(Link link, long nonce, long now) {
-		boolean leaving = this.life.state() == LifeState.LEAVING || this.life.state() == LifeState.STOPPED;
 		PeerMessage.Status status = new PeerMessage.Status(text().held().map(Checked::version),
 				this.holdings.vms().held().map(Checked::version), this.life.evidenceAgeMillis(now),
-				text().rejection().map(Rejection::revision).orElse(0L), leaving, nonce);
+				text().rejection().map(Rejection::revision).orElse(0L), this.life.state().isLeaving(), nonce);
 		send(link.id(), link.tell(status, now));
 	}
 
--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetSettings.java
@@ -51,9 +51,7 @@
 	 * @return the changed settings
 	 */
 	public FleetSettings withPlatformCalls(double callsPerSecond) {
-		return new FleetSettings(this.self, this.seeds, this.distribution, callsPerSecond, this.tickMillis,
-				this.pauseMillis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
+		return with(callsPerSecond, this.pauseMillis, this.startMillis);
 	}
 
 	/**
@@ -62,9 +60,7 @@
 	 * @return the changed settings
 	 */
 	public FleetSettings withPauseMillis(long millis) {
-		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
-				millis, this.startMillis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
+		return with(this.platformCallsPerSecond, millis, this.startMillis);
 	}
 
 	/**
@@ -73,9 +69,13 @@
 	 * @return the changed settings
 	 */
 	public FleetSettings withStartMillis(long millis) {
-		return new FleetSettings(this.self, this.seeds, this.distribution, this.platformCallsPerSecond, this.tickMillis,
-				this.pauseMillis, millis, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis,
-				this.silenceMillis, this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
+		return with(this.platformCallsPerSecond, this.pauseMillis, millis);
+	}
+
+	private FleetSettings with(double callsPerSecond, long pause, long start) {
+		return new FleetSettings(this.self, this.seeds, this.distribution, callsPerSecond, this.tickMillis, pause,
+				start, this.confirmMillis, this.evidenceMillis, this.heartbeatMillis, this.silenceMillis,
+				this.textWatchMillis, this.vmsWatchMillis, this.pullMillis, this.standbyMillis);
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/FormerDocuments.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FormerDocuments.java
@@ -81,14 +81,12 @@
 	 */
 	private static void keep(List<PeerMessage.ManifestEntry> entries, int place) {
 		int last = entries.size() - 1;
-		boolean follows = last >= 0 && entries.get(last) instanceof PeerMessage.ManifestEntry.Kept kept
-				&& kept.from() + kept.count() == place;
-		if (!follows) {
-			entries.add(new PeerMessage.ManifestEntry.Kept(place, 1));
+		if (last >= 0 && entries.get(last) instanceof PeerMessage.ManifestEntry.Kept kept
+				&& kept.from() + kept.count() == place) {
+			entries.set(last, new PeerMessage.ManifestEntry.Kept(kept.from(), kept.count() + 1));
 			return;
 		}
-		PeerMessage.ManifestEntry.Kept kept = (PeerMessage.ManifestEntry.Kept) entries.get(last);
-		entries.set(last, new PeerMessage.ManifestEntry.Kept(kept.from(), kept.count() + 1));
+		entries.add(new PeerMessage.ManifestEntry.Kept(place, 1));
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/LifeState.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/LifeState.java
@@ -21,6 +21,14 @@
 	LEAVING,
 
 	/** Finished. */
-	STOPPED
+	STOPPED;
+
+	/**
+	 * Tells whether a node in this state accepts no new work for good.
+	 * @return true while leaving and afterwards
+	 */
+	public boolean isLeaving() {
+		return this == LEAVING || this == STOPPED;
+	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/misc/Fields.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/Fields.java
@@ -167,6 +167,18 @@
 		return words.get(0);
 	}
 
+	/**
+	 * Reads an optional word of a fixed set.
+	 * @param <W> type of the words
+	 * @param key the member's name
+	 * @param words the allowed words; their {@code toString} is how they are written
+	 * @param missing what counts when the member is absent
+	 * @return the word, or the first one after a problem was reported
+	 */
+	public <W> W word(String key, List<W> words, W missing) {
+		return has(key) ? word(key, words) : missing;
+	}
+
 	/**
 	 * Reads a required list.
 	 * @param key the member's name
--- a/core/src/main/java/org/eelgrasspitch/text/TextParser.java
+++ b/core/src/main/java/org/eelgrasspitch/text/TextParser.java
@@ -140,7 +140,7 @@
 	private Operation operation(Fields fields) {
 		String name = fields.name("name");
 		OperationKind kind = fields.word("kind", KINDS);
-		Priority priority = fields.has("priority") ? fields.word("priority", PRIORITIES) : Priority.INTERACTIVE;
+		Priority priority = fields.word("priority", PRIORITIES, Priority.INTERACTIVE);
 		int deadlineMillis = fields.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS);
 		int lateAfterMillis = fields.integer("lateAfterMillis", 1, MAX_DEADLINE_MILLIS, deadlineMillis);
 		if (fields.has("lateAfterMillis") && lateAfterMillis >= deadlineMillis) {
--- a/node/src/main/java/org/eelgrasspitch/node/ControlLoop.java
+++ b/node/src/main/java/org/eelgrasspitch/node/ControlLoop.java
@@ -1,7 +1,6 @@
 package org.eelgrasspitch.node;
 
 import java.net.InetSocketAddress;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -202,7 +201,7 @@
 
 	private void note(FleetEffect.Note note) {
 		this.context.metrics().noted(note.kind());
-		String event = note.kind().name().toLowerCase(Locale.ROOT);
+		String event = Outcomes.word(note.kind());
 		Field detail = Field.of("detail", note.detail());
 		if (note.kind() == NoteKind.VERSION_ACCEPTED || note.kind() == NoteKind.ROLE_CHANGED) {
 			this.context.log().info(event, detail);
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -92,7 +92,7 @@
 			reply.accept(refused(Reason.NOT_READY));
 			return;
 		}
-		if (isLeaving()) {
+		if (this.context.state().life().isLeaving()) {
 			reply.accept(refused(Reason.LEAVING));
 			return;
 		}
@@ -222,11 +222,6 @@
 		}
 	}
 
-	private boolean isLeaving() {
-		LifeState life = this.context.state().life();
-		return life == LifeState.LEAVING || life == LifeState.STOPPED;
-	}
-
 	private EntryReply refused(Reason reason) {
 		return new EntryReply.Ended(new CallOutcome.NotRun(reason, RETRY_AFTER_MILLIS), Optional.empty(),
 				this.context.state().revision());
--- a/node/src/main/java/org/eelgrasspitch/node/EventLog.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EventLog.java
@@ -1,6 +1,5 @@
 package org.eelgrasspitch.node;
 
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -65,7 +64,7 @@
 		if (suppressed > 0) {
 			MDC.put("suppressed", Long.toString(suppressed));
 		}
-		this.logger.log(level, event.toLowerCase(Locale.ROOT));
+		this.logger.log(level, event);
 		MDC.clear();
 	}
 
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -6,7 +6,6 @@
 import java.util.random.RandomGenerator;
 
 import okhttp3.Call;
-import org.eelgrasspitch.fleet.LifeState;
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.request.AdmissionQueue;
 import org.eelgrasspitch.request.CallMessage;
@@ -174,8 +173,7 @@
 	}
 
 	private boolean isLeaving() {
-		LifeState life = this.context.state().life();
-		return this.targetLeaving || life == LifeState.LEAVING || life == LifeState.STOPPED;
+		return this.targetLeaving || this.context.state().life().isLeaving();
 	}
 
 	private boolean isQuarantined(CallMessage.Request request) {
--- a/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.IntSupplier;
@@ -99,20 +98,20 @@
 
 	@Override
 	public void sent(Purpose purpose, int length) {
-		this.bytes.labelValues(word(purpose), "out").inc(length + (double) PREFIX_BYTES);
+		this.bytes.labelValues(Outcomes.word(purpose), "out").inc(length + (double) PREFIX_BYTES);
 	}
 
 	@Override
 	public void received(Purpose purpose, int length) {
-		this.bytes.labelValues(word(purpose), "in").inc(length + (double) PREFIX_BYTES);
+		this.bytes.labelValues(Outcomes.word(purpose), "in").inc(length + (double) PREFIX_BYTES);
 	}
 
 	void noted(NoteKind kind) {
-		this.notes.labelValues(word(kind)).inc();
+		this.notes.labelValues(Outcomes.word(kind)).inc();
 	}
 
 	void platformCalled(Channel channel) {
-		this.platformCalls.labelValues(word(channel)).inc();
+		this.platformCalls.labelValues(Outcomes.word(channel)).inc();
 	}
 
 	void platformRead(int length) {
@@ -154,8 +153,4 @@
 		}
 	}
 
-	private static String word(Enum<?> constant) {
-		return constant.name().toLowerCase(Locale.ROOT);
-	}
-
 }
--- a/node/src/main/java/org/eelgrasspitch/node/Outcomes.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Outcomes.java
@@ -3,10 +3,9 @@
 import java.util.Locale;
 
 import org.eelgrasspitch.request.CallOutcome;
-import org.eelgrasspitch.request.Reason;
 
 /**
- * Words for outcomes in metrics, logs and answers.
+ * Words for outcomes and constants in metrics, logs and answers.
  */
 final class Outcomes {
 
@@ -22,8 +21,8 @@
 		};
 	}
 
-	static String word(Reason reason) {
-		return reason.name().toLowerCase(Locale.ROOT);
+	static String word(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT);
 	}
 
 }
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -98,25 +98,18 @@
 		InetSocketAddress advertised = fields.has("advertisedAddress") ? address(fields, "advertisedAddress") : peer;
 		NodeSettings settings = new NodeSettings(vm, failureDomain, service, peer, advertised,
 				address(fields, "callerAddress"), address(fields, "operatorAddress"), address(fields, "targetAddress"),
-				url(fields), seeds(fields), distribution(fields),
+				url(fields), seeds(fields),
+				fields.word("distribution", List.of(Distribution.values()), Distribution.DELTAS),
 				fields.integer("platformCallsPerSecond", 1, MAX_PLATFORM_CALLS, DEFAULT_PLATFORM_CALLS),
 				fields.integer("recordCapacity", 1, MAX_RECORDS, DEFAULT_RECORDS),
 				fields.integer("drainMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
 				fields.integer("pauseMillis", MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, DEFAULT_PAUSE_MILLIS),
-				fields.integer("startMillis", 0, MAX_START_MILLIS, DEFAULT_START_MILLIS), guards(fields));
+				fields.integer("startMillis", 0, MAX_START_MILLIS, DEFAULT_START_MILLIS),
+				fields.word("guards", List.of(Guards.values()), Guards.ALL));
 		fields.refuseUnknown();
 		return settings;
 	}
 
-	private Distribution distribution(Fields fields) {
-		return fields.has("distribution") ? fields.word("distribution", List.of(Distribution.values()))
-				: Distribution.DELTAS;
-	}
-
-	private Guards guards(Fields fields) {
-		return fields.has("guards") ? fields.word("guards", List.of(Guards.values())) : Guards.ALL;
-	}
-
 	private InetSocketAddress address(Fields fields, String key) {
 		String written = fields.text(key);
 		Optional<InetSocketAddress> address = Addresses.parse(written);
--- a/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
+++ b/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
@@ -1,7 +1,6 @@
 package org.eelgrasspitch.node;
 
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 
 import org.eelgrasspitch.fleet.FleetView;
@@ -47,21 +46,17 @@
 			.map((rejection) -> rejection.problems().stream().map(Problem::toString).toList())
 			.orElse(List.of());
 		return new StatusReport(context.settings().vm(), context.settings().failureDomain(), context.incarnation(),
-				word(view.life()), view.evidenceAgeMillis() >= 0, word(view.role()), revision(view.text()),
-				view.text().map((version) -> version.digest().hex()), view.floor(), revision(view.vms()),
-				view.evidenceAgeMillis(), view.rejection().map((rejection) -> rejection.revision()).orElse(0L),
-				problems, home.inFlight(), home.recordCount(), home.targetLimit(), home.quarantineCount(),
-				entry.ejected(), peers);
+				Outcomes.word(view.life()), view.evidenceAgeMillis() >= 0, Outcomes.word(view.role()),
+				revision(view.text()), view.text().map((version) -> version.digest().hex()), view.floor(),
+				revision(view.vms()), view.evidenceAgeMillis(),
+				view.rejection().map((rejection) -> rejection.revision()).orElse(0L), problems, home.inFlight(),
+				home.recordCount(), home.targetLimit(), home.quarantineCount(), entry.ejected(), peers);
 	}
 
 	private static long revision(Optional<Version> version) {
 		return version.map(Version::revision).orElse(0L);
 	}
 
-	private static String word(Enum<?> constant) {
-		return constant.name().toLowerCase(Locale.ROOT);
-	}
-
 	/**
 	 * One open link.
 	 *
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -102,7 +102,9 @@
 	 * @param callback receives true when the target says so
 	 */
 	void probe(Consumer<Boolean> callback) {
-		askHealth(new Callback() {
+		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
+		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		call.enqueue(new Callback() {
 			@Override
 			public void onFailure(Call failed, IOException cause) {
 				// No word from the target is no evidence of draining.
@@ -123,12 +125,6 @@
 		this.client.connectionPool().evictAll();
 	}
 
-	private void askHealth(Callback callback) {
-		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
-		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-		call.enqueue(callback);
-	}
-
 	private HttpUrl url(String path) {
 		return new HttpUrl.Builder().scheme("http").host(this.host).port(this.port).addPathSegment(path).build();
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/ChangeSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/ChangeSteps.java
@@ -12,7 +12,6 @@
 import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
 import org.eelgrasspitch.testkit.Json;
-import org.eelgrasspitch.testkit.MetricsReader;
 import org.testng.Assert;
 
 /**
@@ -65,12 +64,7 @@
 
 	@Then("at least {int} node(s) reported the race")
 	public void raceReported(int least) {
-		double reports = 0;
-		for (String vm : this.world.cluster().vms()) {
-			reports += MetricsReader.sum(this.world.caller(),
-					this.world.cluster().deployment().member(vm).settings().operatorAddress(),
-					"eelgrasspitch_events_total", "event=\"base_mismatch\"");
-		}
+		double reports = this.world.metric("eelgrasspitch_events_total", "event=\"base_mismatch\"");
 		Assert.assertTrue(reports >= least, reports + " reports");
 	}
 
@@ -104,8 +98,7 @@
 		if (vm.equals(this.asleep)) {
 			return;
 		}
-		Optional<CallAnswer> answer = this.world.caller()
-			.get(this.world.cluster().deployment().member(vm).settings().operatorAddress(), "/routes");
+		Optional<CallAnswer> answer = this.world.caller().get(this.world.operatorPort(vm), "/routes");
 		if (answer.isEmpty()) {
 			return;
 		}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
@@ -20,7 +20,6 @@
 import org.eelgrasspitch.testkit.HttpCaller.CallSpec;
 import org.eelgrasspitch.testkit.JavaProcess;
 import org.eelgrasspitch.testkit.LoadGenerator;
-import org.eelgrasspitch.testkit.MetricsReader;
 import org.testng.Assert;
 
 /**
@@ -77,9 +76,7 @@
 	public void chain(int length, int failureDomains) {
 		List<String> services = chainServices(length);
 		this.world.startChain(services, failureDomains);
-		List<String> open = this.world.cluster()
-			.await(this.world.cluster().vms(), CHAIN_START_MILLIS, (status) -> status.state().equals("serving"));
-		Assert.assertTrue(open.isEmpty(), open + " do not serve");
+		this.world.requireServing(CHAIN_START_MILLIS);
 	}
 
 	@When("{int} callers call the first of {int} services for {int} seconds")
@@ -96,11 +93,7 @@
 	@When("the last of {int} services refuses everything")
 	public void lastRefuses(int length) {
 		String last = chainServices(length).get(length - 1);
-		this.world.cluster()
-			.vms()
-			.stream()
-			.filter((vm) -> this.world.cluster().deployment().member(vm).settings().service().equals(last))
-			.forEach((vm) -> this.world.target(vm).drain(true));
+		this.world.vmsOfService(last).forEach((vm) -> this.world.target(vm).drain(true));
 	}
 
 	@Then("none of {int} services got more than {int} percent of the callers' requests")
@@ -209,22 +202,14 @@
 
 	@Given("every target of {word} breaks off every answer but says it is healthy")
 	public void breakTargets(String service) {
-		this.world.cluster()
-			.vms()
-			.stream()
-			.filter((vm) -> this.world.cluster().deployment().member(vm).settings().service().equals(service))
-			.forEach(this::breakTarget);
+		this.world.vmsOfService(service).forEach(this::breakTarget);
 	}
 
 	@When("the targets of {word} work again")
 	public void mendTargets(String service) {
 		this.broken.forEach(BrokenTarget::close);
 		this.broken.clear();
-		this.world.cluster()
-			.vms()
-			.stream()
-			.filter((vm) -> this.world.cluster().deployment().member(vm).settings().service().equals(service))
-			.forEach(this.world::startTarget);
+		this.world.vmsOfService(service).forEach(this.world::startTarget);
 	}
 
 	@When("the broken target's requests are counted from now")
@@ -265,13 +250,8 @@
 
 	@Then("retries of all nodes were at most {int} percent of requests")
 	public void retryShare(int percent) {
-		double retries = 0;
-		double requests = 0;
-		for (String vm : this.world.cluster().vms()) {
-			InetSocketAddress operators = this.world.cluster().deployment().member(vm).settings().operatorAddress();
-			retries += MetricsReader.sum(this.world.caller(), operators, "eelgrasspitch_retries_total", "");
-			requests += MetricsReader.sum(this.world.caller(), operators, "eelgrasspitch_requests_total", "");
-		}
+		double retries = this.world.metric("eelgrasspitch_retries_total", "");
+		double requests = this.world.metric("eelgrasspitch_requests_total", "");
 		double saved = 10.0 * this.world.cluster().vms().size();
 		Assert.assertTrue(retries <= requests * percent / 100 + saved, retries + " retries, " + requests + " requests");
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/Steps.java
@@ -32,13 +32,13 @@
 	@Given("a mesh of {int} nodes in {int} failure domains")
 	public void mesh(int nodes, int failureDomains) {
 		this.world.start(nodes, failureDomains, "");
-		awaitServing();
+		this.world.requireServing(START_MILLIS);
 	}
 
 	@Given("a mesh of {int} nodes in {int} failure domains with settings {string}")
 	public void meshWithSettings(int nodes, int failureDomains, String settings) {
 		this.world.start(nodes, failureDomains, settings.replace('\'', '"'));
-		awaitServing();
+		this.world.requireServing(START_MILLIS);
 	}
 
 	@When("a caller asks node {word} for {word} of {word}")
@@ -132,12 +132,6 @@
 		Assert.assertTrue(failed.isEmpty(), "not answered: " + failed);
 	}
 
-	private void awaitServing() {
-		List<String> open = this.world.cluster()
-			.await(this.world.cluster().vms(), START_MILLIS, (status) -> status.state().equals("serving"));
-		Assert.assertTrue(open.isEmpty(), open + " do not serve");
-	}
-
 	private void holds(List<String> vms, int seconds) {
 		long latest = this.world.latest();
 		List<String> open = this.world.cluster()
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -24,10 +24,12 @@
 import org.eelgrasspitch.testkit.HttpCaller;
 import org.eelgrasspitch.testkit.JavaProcess;
 import org.eelgrasspitch.testkit.LinkSwitch;
+import org.eelgrasspitch.testkit.MetricsReader;
 import org.eelgrasspitch.testkit.PlatformStandIn;
 import org.eelgrasspitch.testkit.TargetStandIn;
 import org.eelgrasspitch.text.Channel;
 import org.eelgrasspitch.text.TextTool;
+import org.testng.Assert;
 
 /**
  * What the steps of one scenario share: a cluster of real node processes, with platform
@@ -151,8 +153,7 @@
 	}
 
 	long publishChange() {
-		this.slots++;
-		this.latest = publish(this.writer.text(this.slots, 0, 0));
+		this.latest = publish(nextText());
 		return this.latest;
 	}
 
@@ -161,8 +162,7 @@
 	 * new name, or on nothing because the other is gone.
 	 */
 	void publishShape(Shape shape) {
-		this.slots++;
-		String whole = new String(this.writer.text(this.slots, 0, 0), StandardCharsets.UTF_8).replaceFirst("\"slots\"",
+		String whole = new String(nextText(), StandardCharsets.UTF_8).replaceFirst("\"slots\"",
 				"\"dependsOn\": [\"archive\"], \"slots\"");
 		DeploymentWriter alone = new DeploymentWriter(this.writer.octet(), this.writer.failureDomains(),
 				List.of("renewals"), this.writer.nodes(), true, "");
@@ -177,8 +177,7 @@
 	 * Publishes a change that was written against a text which is not in force.
 	 */
 	void publishRaced() {
-		this.slots++;
-		String text = new String(this.writer.text(this.slots, 0, 0), StandardCharsets.UTF_8);
+		String text = new String(nextText(), StandardCharsets.UTF_8);
 		String base = "{\"base\": \"%s\", ".formatted(Digest.of(new byte[0]).hex());
 		this.latest = publish(text.replaceFirst("\\{", base).getBytes(StandardCharsets.UTF_8));
 	}
@@ -238,6 +237,11 @@
 		}
 	}
 
+	private byte[] nextText() {
+		this.slots++;
+		return this.writer.text(this.slots, 0, 0);
+	}
+
 	private long publish(byte[] text) {
 		long revision = this.platform.publish(Channel.TEXT, text);
 		this.texts.put(revision, text);
@@ -264,6 +268,37 @@
 		return this.cluster.deployment().member(vm).settings().callerAddress();
 	}
 
+	InetSocketAddress operatorPort(String vm) {
+		return this.cluster.deployment().member(vm).settings().operatorAddress();
+	}
+
+	/**
+	 * Returns the names of the VMs whose target runs a service.
+	 */
+	List<String> vmsOfService(String service) {
+		return this.cluster.deployment().ofService(service).stream().map((member) -> member.settings().vm()).toList();
+	}
+
+	/**
+	 * Adds up a metric over all nodes.
+	 * @param labels part of a line that it must contain, or empty
+	 */
+	double metric(String name, String labels) {
+		return this.cluster.vms()
+			.stream()
+			.mapToDouble((vm) -> MetricsReader.sum(caller(), operatorPort(vm), name, labels))
+			.sum();
+	}
+
+	/**
+	 * Waits until every node serves a confirmed text.
+	 */
+	void requireServing(long millis) {
+		List<String> open = this.cluster.await(this.cluster.vms(), millis,
+				(status) -> status.state().equals("serving"));
+		Assert.assertTrue(open.isEmpty(), open + " do not serve");
+	}
+
 	HttpCaller caller() {
 		return this.cluster.control();
 	}
@@ -301,10 +336,7 @@
 	 */
 	int reached(String service) {
 		int reached = 0;
-		for (String vm : this.cluster.vms()) {
-			if (!this.cluster.deployment().member(vm).settings().service().equals(service)) {
-				continue;
-			}
+		for (String vm : vmsOfService(service)) {
 			reached += target(vm).receivedWhileDraining();
 			reached += target(vm).executionList().stream().mapToInt(TargetStandIn.Execution::count).sum();
 		}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/Cluster.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/Cluster.java
@@ -9,12 +9,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 import org.eelgrasspitch.misc.Addresses;
 import org.eelgrasspitch.misc.Closer;
 import org.eelgrasspitch.node.StatusReport;
+import org.eelgrasspitch.text.Channel;
 
 /**
  * A running deployment: platform, targets and nodes. Nodes are always processes of their
@@ -159,9 +161,8 @@
 	 * @return the status, or empty when it does not answer
 	 */
 	public Optional<StatusReport> status(String vm) {
-		return this.control.get(this.deployment.member(vm).settings().operatorAddress(), "/status")
-			.filter((answer) -> answer.status() == 200)
-			.map((answer) -> Json.read(answer.body(), StatusReport.class));
+		return this.control.read(this.deployment.member(vm).settings().operatorAddress(), "/status",
+				StatusReport.class);
 	}
 
 	/**
@@ -181,6 +182,34 @@
 		return open;
 	}
 
+	/**
+	 * Starts the platform in this process and targets and nodes as processes, and waits
+	 * until every node serves the deployment's text.
+	 * @param serviceMillis time that a target's request takes, in milliseconds
+	 * @param millis longest wait, in milliseconds
+	 */
+	public void startServing(long serviceMillis, long millis) {
+		PlatformStandIn stand = embedPlatform();
+		stand.publish(Channel.VMS, this.deployment.vms());
+		stand.publish(Channel.TEXT, this.deployment.text());
+		startTargets(serviceMillis);
+		startNodes();
+		requireAll("serving", millis, (status) -> status.state().equals("serving"));
+	}
+
+	/**
+	 * Waits until all nodes satisfy a condition, and fails when they do not in time.
+	 * @param what names the condition
+	 * @param millis longest wait, in milliseconds
+	 * @param condition the condition
+	 */
+	public void requireAll(String what, long millis, Predicate<StatusReport> condition) {
+		List<String> open = await(vms(), millis, condition);
+		if (!open.isEmpty()) {
+			throw new IllegalStateException("not " + what + ": " + open);
+		}
+	}
+
 	/**
 	 * Returns the names of all VMs.
 	 * @return the names
@@ -220,13 +249,15 @@
 	}
 
 	/**
-	 * Takes ownership of a further resource.
-	 * @param <T> type of the resource
-	 * @param resource closed together with the cluster
-	 * @return the same resource
+	 * Pauses the calling thread until a time.
+	 * @param nanos the time, as {@link System#nanoTime()} counts it
 	 */
-	public <T extends AutoCloseable> T register(T resource) {
-		return this.closer.register(resource);
+	public static void sleepUntil(long nanos) {
+		long left = nanos - System.nanoTime();
+		while (left > 0) {
+			LockSupport.parkNanos(left);
+			left = nanos - System.nanoTime();
+		}
 	}
 
 	@Override
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/ConfigMeasurement.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/ConfigMeasurement.java
@@ -153,11 +153,8 @@
 	}
 
 	private void await(String what, long millis, long revision) {
-		List<String> open = this.cluster.await(this.cluster.vms(), millis,
+		this.cluster.requireAll(what, millis,
 				(status) -> status.revision() == revision && !status.state().equals("starting"));
-		if (!open.isEmpty()) {
-			throw new IllegalStateException("not " + what + ": " + open);
-		}
 	}
 
 	private List<Instant> acceptedAt(long revision) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/HttpCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/HttpCaller.java
@@ -20,6 +20,8 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+	private static final int OK = 200;
+
 	private static final RequestBody EMPTY = RequestBody.create(new byte[0]);
 
 	private static final int MAX_IDLE = 256;
@@ -69,7 +71,7 @@
 	public List<String> tickets(InetSocketAddress node, String service, String operation, int count) {
 		Request request = request(node, "/-/tickets/" + service + "/" + operation + "?count=" + count).post(EMPTY)
 			.build();
-		return send(request).filter((answer) -> answer.status() == 200)
+		return send(request).filter((answer) -> answer.status() == OK)
 			.map((answer) -> Json.read(answer.body(), TicketList.class).tickets())
 			.orElse(List.of());
 	}
@@ -84,6 +86,19 @@
 		return send(request(server, path).get().build());
 	}
 
+	/**
+	 * Reads a JSON document.
+	 * @param <T> type of the document
+	 * @param server the server
+	 * @param path path and query
+	 * @param type class of the document
+	 * @return the document, or empty when it was not answered with status 200
+	 */
+	public <T> Optional<T> read(InetSocketAddress server, String path, Class<T> type) {
+		return get(server, path).filter((answer) -> answer.status() == OK)
+			.map((answer) -> Json.read(answer.body(), type));
+	}
+
 	/**
 	 * Sends a POST request without a body.
 	 * @param server the server
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/OverloadMeasurement.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/OverloadMeasurement.java
@@ -5,17 +5,15 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
-import java.util.stream.LongStream;
 
 import org.eelgrasspitch.request.Guards;
 import org.eelgrasspitch.testkit.HttpCaller.CallAnswer;
 import org.eelgrasspitch.testkit.HttpCaller.CallSpec;
-import org.eelgrasspitch.text.Channel;
 
 /**
  * Measures what is answered at half of the targets' capacity, at twice the capacity, and
@@ -79,16 +77,7 @@
 		Deployment deployment = writer.write(directory.resolve("deployment"),
 				writer.text(DeploymentWriter.DEFAULT_SLOTS, 0, 0));
 		try (Cluster cluster = new Cluster(deployment, directory)) {
-			PlatformStandIn platform = cluster.embedPlatform();
-			platform.publish(Channel.VMS, deployment.vms());
-			platform.publish(Channel.TEXT, deployment.text());
-			cluster.startTargets(SERVICE_MILLIS);
-			cluster.startNodes();
-			List<String> open = cluster.await(cluster.vms(), START_MILLIS,
-					(status) -> status.state().equals("serving"));
-			if (!open.isEmpty()) {
-				throw new IllegalStateException("do not serve: " + open);
-			}
+			cluster.startServing(SERVICE_MILLIS, START_MILLIS);
 			return new OverloadMeasurement(cluster).run(guards, progress);
 		}
 	}
@@ -105,7 +94,7 @@
 		send(2 * CAPACITY, LONG_SECONDS, during, open);
 		send(CAPACITY / 2, AFTER_SECONDS, after, open);
 		open.forEach(OverloadMeasurement::join);
-		long usual = percentile(before, 99);
+		long usual = percentile(before, true, 99);
 		this.caller.close();
 		return new Result(guards.toString(), Phase.of(before, SHORT_SECONDS), Phase.of(during, LONG_SECONDS),
 				Phase.of(after, AFTER_SECONDS), secondsUntil(after, usual * BACK_FACTOR));
@@ -128,7 +117,7 @@
 		List<String> vms = this.cluster.vms();
 		for (int index = 0; index < perSecond * seconds; index++) {
 			long scheduled = startedAt + index * interval;
-			waitUntil(scheduled);
+			Cluster.sleepUntil(scheduled);
 			boolean payment = index % PAYMENT_EVERY == 0;
 			String id = SERVICE + "-" + this.number++;
 			InetSocketAddress node = this.cluster.deployment()
@@ -154,14 +143,6 @@
 				id.getBytes(StandardCharsets.UTF_8), false));
 	}
 
-	private static void waitUntil(long nanos) {
-		long left = nanos - System.nanoTime();
-		while (left > 0) {
-			LockSupport.parkNanos(left);
-			left = nanos - System.nanoTime();
-		}
-	}
-
 	private static void join(Thread thread) {
 		try {
 			thread.join();
@@ -179,7 +160,8 @@
 		for (int second = 0; second < AFTER_SECONDS; second++) {
 			int wanted = second;
 			List<Ended> window = ended.stream().filter((call) -> call.second() == wanted).toList();
-			boolean slow = percentile(window, 99) > boundMillis || window.stream().anyMatch((call) -> !call.answered());
+			boolean slow = percentile(window, true, 99) > boundMillis
+					|| window.stream().anyMatch((call) -> !call.answered());
 			if (slow) {
 				back = second + 1;
 			}
@@ -187,18 +169,17 @@
 		return back;
 	}
 
-	private static long percentile(Iterable<Ended> ended, int percent) {
-		List<Long> answered = new ArrayList<>();
-		ended.forEach((call) -> {
-			if (call.answered()) {
-				answered.add(call.millis());
-			}
-		});
-		if (answered.isEmpty()) {
-			return 0;
-		}
-		long[] sorted = answered.stream().mapToLong(Long::longValue).sorted().toArray();
-		return sorted[(sorted.length - 1) * percent / 100];
+	/**
+	 * Returns a percentile of the time until calls ended.
+	 * @param answered true for the calls that were answered, false for the others
+	 */
+	private static long percentile(Collection<Ended> ended, boolean answered, int percent) {
+		long[] sorted = ended.stream()
+			.filter((call) -> call.answered() == answered)
+			.mapToLong(Ended::millis)
+			.sorted()
+			.toArray();
+		return (sorted.length > 0) ? sorted[(sorted.length - 1) * percent / 100] : 0;
 	}
 
 	/**
@@ -225,17 +206,12 @@
 	 */
 	public record Phase(int sent, double paymentPercent, double lookupsPerSecond, long p50, long p99, long refusedP99) {
 
-		static Phase of(Iterable<Ended> ended, int seconds) {
-			List<Ended> calls = new ArrayList<>();
-			ended.forEach(calls::add);
+		static Phase of(Collection<Ended> calls, int seconds) {
 			long payments = calls.stream().filter(Ended::payment).count();
 			long paid = calls.stream().filter((call) -> call.payment() && call.answered()).count();
 			long lookups = calls.stream().filter((call) -> !call.payment() && call.answered()).count();
-			LongStream refused = calls.stream().filter((call) -> !call.answered()).mapToLong(Ended::millis).sorted();
-			long[] sorted = refused.toArray();
-			long refusedP99 = (sorted.length > 0) ? sorted[(sorted.length - 1) * 99 / 100] : 0;
 			return new Phase(calls.size(), 100.0 * paid / Math.max(1, payments), (double) lookups / seconds,
-					percentile(calls, 50), percentile(calls, 99), refusedP99);
+					percentile(calls, true, 50), percentile(calls, true, 99), percentile(calls, false, 99));
 		}
 
 		String cells() {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/RequestMeasurement.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/RequestMeasurement.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 
 import okhttp3.Call;
 import okhttp3.Callback;
@@ -22,7 +21,6 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.eelgrasspitch.misc.Addresses;
-import org.eelgrasspitch.text.Channel;
 
 /**
  * Measures the time that two nodes, the caller's and the target's, add to a call. Calls
@@ -83,16 +81,7 @@
 				4, false, "");
 		Deployment deployment = writer.write(directory.resolve("deployment"), writer.text(1_000, 0, 0));
 		try (Cluster cluster = new Cluster(deployment, directory)) {
-			PlatformStandIn platform = cluster.embedPlatform();
-			platform.publish(Channel.VMS, deployment.vms());
-			platform.publish(Channel.TEXT, deployment.text());
-			cluster.startTargets(0);
-			cluster.startNodes();
-			List<String> open = cluster.await(cluster.vms(), START_MILLIS,
-					(status) -> status.state().equals("serving"));
-			if (!open.isEmpty()) {
-				throw new IllegalStateException("do not serve: " + open);
-			}
+			cluster.startServing(0, START_MILLIS);
 			return new RequestMeasurement(plan, cluster).run(progress);
 		}
 	}
@@ -128,10 +117,10 @@
 		long startedAt = System.nanoTime();
 		for (int index = 0; index < calls; index++) {
 			long scheduled = startedAt + index * interval;
-			waitUntil(scheduled);
+			Cluster.sleepUntil(scheduled);
 			send(through, scheduled, this.routed, open);
 			long second = scheduled + interval / 2;
-			waitUntil(second);
+			Cluster.sleepUntil(second);
 			send(straight, second, this.direct, open);
 		}
 		try {
@@ -168,14 +157,6 @@
 		});
 	}
 
-	private static void waitUntil(long nanos) {
-		long left = nanos - System.nanoTime();
-		while (left > 0) {
-			LockSupport.parkNanos(left);
-			left = nanos - System.nanoTime();
-		}
-	}
-
 	private static Request request(InetSocketAddress server, String path) {
 		return new Request.Builder().url("http://" + Addresses.format(server) + path).post(BODY).build();
 	}
