--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
@@ -0,0 +1,112 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bounds repeated sends of requests to the targets of a service, for the whole fleet and
+ * without a coordinator.
+ * <p>
+ * The fleet may repeat a share of its requests plus a fixed number in any window. Each
+ * node uses the share of its own requests and its part of the fixed number, divided by
+ * the nodes that it believes exist. It keeps to {@link #CAUTION} of both, because nodes
+ * may disagree about their number and because a repeated request repeats the calls that
+ * its target makes.
+ * <p>
+ * Load pattern answered: every target of a service fails while callers repeat on their
+ * own; without the bound, each layer multiplies the load of the one above.
+ */
+public final class AttemptBudget {
+
+	/** Part of the fleet's budget that is used. */
+	private static final double CAUTION = 0.5;
+
+	private final double ratio;
+
+	private final double minimum;
+
+	private final long windowMillis;
+
+	private final Map<String, Window> windows = new HashMap<>();
+
+	/**
+	 * Creates a budget.
+	 * @param ratio repeats allowed for each request
+	 * @param minimum repeats allowed besides, in one window, by all nodes together
+	 * @param windowMillis length of the window in milliseconds
+	 */
+	public AttemptBudget(double ratio, double minimum, long windowMillis) {
+		this.ratio = ratio;
+		this.minimum = minimum;
+		this.windowMillis = windowMillis;
+	}
+
+	/**
+	 * Notes the first send of a request.
+	 * @param service the service that it is sent to
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void sent(String service, long now) {
+		Window window = window(service, now);
+		window.requests.add(now);
+	}
+
+	/**
+	 * Takes one repeat if the budget allows it.
+	 * @param service the service that it would be sent to
+	 * @param nodes nodes that share the budget
+	 * @param now current monotonic time in milliseconds
+	 * @return true when the repeat may be made
+	 */
+	public boolean tryTake(String service, int nodes, long now) {
+		Window window = window(service, now);
+		if (window.repeats.size() + 1 > allowed(window, nodes)) {
+			return false;
+		}
+		window.repeats.add(now);
+		return true;
+	}
+
+	/**
+	 * Returns what is left.
+	 * @param service a service
+	 * @param nodes nodes that share the budget
+	 * @param now current monotonic time in milliseconds
+	 * @return repeats that could be made now
+	 */
+	public int left(String service, int nodes, long now) {
+		Window window = window(service, now);
+		return Math.max(0, (int) allowed(window, nodes) - window.repeats.size());
+	}
+
+	private double allowed(Window window, int nodes) {
+		return CAUTION * (this.ratio * window.requests.size() + this.minimum / Math.max(1, nodes));
+	}
+
+	private Window window(String service, long now) {
+		Window window = this.windows.computeIfAbsent(service, (name) -> new Window());
+		forget(window.requests, now);
+		forget(window.repeats, now);
+		return window;
+	}
+
+	private void forget(Deque<Long> times, long now) {
+		while (!times.isEmpty() && now - times.getFirst() >= this.windowMillis) {
+			times.removeFirst();
+		}
+	}
+
+	/**
+	 * Times of sends to one service within the window, the oldest first.
+	 */
+	private static final class Window {
+
+		private final Deque<Long> requests = new ArrayDeque<>();
+
+		private final Deque<Long> repeats = new ArrayDeque<>();
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
@@ -0,0 +1,14 @@
+package org.eelgrasspitch.mesh;
+
+/**
+ * A target that could serve a request, with what the entry knows of it.
+ *
+ * @param id identifier of the target
+ * @param near whether it is in the failure domain of the entry
+ * @param load the last word of its home
+ * @param sentSince requests that this entry has sent there after that word
+ * @param coldMillis how much longer the target is slow after its start
+ */
+public record Candidate(String id, boolean near, HomeLoad load, int sentSince, long coldMillis) {
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/DirectoryKeeper.java
@@ -0,0 +1,113 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Keeps the directory of targets through everything that happens to their entries.
+ * <p>
+ * Entries of a target are ordered by its life and its own numbering, not by their
+ * arrival: an entry that was written before one already seen is ignored, so a target that
+ * has announced its leaving is never believed ready again in the same life.
+ * <p>
+ * A target whose entry is removed has left and is dropped at once, with one exception.
+ * While the source is away entries lapse although their targets live, and come back
+ * within {@link #RETURN_MILLIS} of its return. So entries that turn out to be missing
+ * when the source returns after an absence are kept until that time has passed.
+ * <p>
+ * Worked case: the source is away for 6 s. On its return, {@code t1} and {@code t2} are
+ * missing. {@code t1} is back after 1.2 s and was usable all the time; {@code t2} is
+ * dropped after 2 s.
+ */
+public final class DirectoryKeeper {
+
+	/**
+	 * Time after the source's return in which lapsed entries come back, in milliseconds;
+	 * the platform promises it.
+	 */
+	public static final long RETURN_MILLIS = 2_000;
+
+	/** The newest entry of each published or lapsed target. */
+	private final Map<String, TargetEntry> entries = new HashMap<>();
+
+	/** The last entry of each target that was ever seen, to order later ones. */
+	private final Map<String, TargetEntry> last = new HashMap<>();
+
+	/** When each lapsed target is dropped, in monotonic milliseconds. */
+	private final Map<String, Long> lapsed = new HashMap<>();
+
+	/** When entries stop being excused for the last absence of the source. */
+	private long excusedUntil = Long.MIN_VALUE;
+
+	/**
+	 * Notes that the source is back after an absence.
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void sourceReturned(long now) {
+		this.excusedUntil = now + RETURN_MILLIS;
+	}
+
+	/**
+	 * Takes over an entry.
+	 * @param entry the entry
+	 * @return true when it changed what is known
+	 */
+	public boolean put(TargetEntry entry) {
+		TargetEntry newest = this.last.get(entry.id());
+		if (newest != null && entry.isOlderThan(newest)) {
+			return false;
+		}
+		this.last.put(entry.id(), entry);
+		this.lapsed.remove(entry.id());
+		return !entry.equals(this.entries.put(entry.id(), entry));
+	}
+
+	/**
+	 * Notes that an entry is no longer published.
+	 * @param id identifier of its target
+	 * @param now current monotonic time in milliseconds
+	 * @return the former entry when the target is gone; empty when it was unknown or has
+	 * only lapsed
+	 */
+	public Optional<TargetEntry> remove(String id, long now) {
+		TargetEntry entry = this.entries.get(id);
+		if (entry == null) {
+			return Optional.empty();
+		}
+		if (now < this.excusedUntil && !entry.draining()) {
+			this.lapsed.put(id, this.excusedUntil);
+			return Optional.empty();
+		}
+		this.lapsed.remove(id);
+		return Optional.of(this.entries.remove(id));
+	}
+
+	/**
+	 * Drops the targets whose entries did not come back in time.
+	 * @param now current monotonic time in milliseconds
+	 * @return the entries that were dropped
+	 */
+	public List<TargetEntry> expire(long now) {
+		List<TargetEntry> dropped = this.lapsed.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() <= now)
+			.map((entry) -> this.entries.get(entry.getKey()))
+			.toList();
+		dropped.forEach((entry) -> {
+			this.lapsed.remove(entry.id());
+			this.entries.remove(entry.id());
+		});
+		return dropped;
+	}
+
+	/**
+	 * Returns the present directory.
+	 * @return an immutable value
+	 */
+	public Directory directory() {
+		return new Directory(this.entries.values());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/HomeQueue.java
@@ -0,0 +1,234 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides which requests run at a target, which wait and which are refused.
+ * <p>
+ * As many requests run as the target has slots, so the target itself never queues. The
+ * others wait here, in this order: the more important first; of equal importance those
+ * that can still meet their objective before those that cannot; then by objective. A
+ * request is refused as soon as its expected start leaves too little time to be served
+ * before its deadline, on arrival or when others go ahead of it, so its caller learns at
+ * once that it has not run. Requests that cannot meet their objective any more wait only
+ * in a small number, because each would hold up later ones that still can.
+ * <p>
+ * Load pattern answered: arrivals exceed the slots for seconds. In the order of arrival
+ * everybody waits until nobody is served in time; here the slots go to requests that are
+ * still worth most, and the excess is told at once when to come back.
+ * <p>
+ * Worked case: one slot, service time 100 ms, objective 300 ms. Of ten requests that
+ * arrive together, one runs, two wait and meet the objective, one waits as late, and six
+ * are refused with the time in which the queue drains.
+ *
+ * @param <T> type of the work
+ */
+public final class HomeQueue<T> {
+
+	/**
+	 * A request counts as able to meet its objective if this multiple of its time fits.
+	 */
+	private static final double SAFETY = 1.2;
+
+	/** Late requests that may wait for each slot. */
+	private static final double LATE_PER_SLOT = 0.5;
+
+	/** Shortest time after which a refused caller is asked back, in milliseconds. */
+	private static final long LEAST_RETURN_MILLIS = 100;
+
+	private final List<Entry<T>> waiting = new ArrayList<>();
+
+	private int running;
+
+	private long nextNumber;
+
+	/**
+	 * Offers work.
+	 * @param job the work
+	 * @param slots requests that may run at a time
+	 * @param now current monotonic time in milliseconds
+	 * @return what to do now
+	 */
+	public Decision<T> offer(Job<T> job, int slots, long now) {
+		if (this.running < slots && this.waiting.isEmpty()) {
+			this.running++;
+			return new Decision<>(List.of(job.work()), List.of());
+		}
+		this.waiting.add(new Entry<>(job, this.nextNumber++));
+		return next(slots, now);
+	}
+
+	/**
+	 * Ends running work.
+	 * @param slots requests that may run at a time
+	 * @param now current monotonic time in milliseconds
+	 * @return what to do now
+	 */
+	public Decision<T> release(int slots, long now) {
+		this.running--;
+		return next(slots, now);
+	}
+
+	/**
+	 * Takes waiting work out of the queue.
+	 * @param work the work
+	 * @return true when it waited; false when it runs or has ended
+	 */
+	public boolean remove(T work) {
+		return this.waiting.removeIf((entry) -> entry.job.work() == work);
+	}
+
+	/**
+	 * Starts what fits and refuses what cannot be served any more.
+	 * @param slots requests that may run at a time
+	 * @param now current monotonic time in milliseconds
+	 * @return what to do now
+	 */
+	public Decision<T> next(int slots, long now) {
+		this.waiting.sort(order(now));
+		List<T> started = new ArrayList<>();
+		List<Refused<T>> refused = new ArrayList<>();
+		List<Entry<T>> kept = new ArrayList<>();
+		double work = 0;
+		int late = 0;
+		int free = slots - this.running;
+		for (Entry<T> entry : this.waiting) {
+			boolean starts = started.size() < free;
+			double start = starts ? 0 : startMillis(work, slots);
+			boolean isLate = !entry.meets(now + (long) start);
+			if (!entry.fits(now + (long) start) || (!starts && isLate && late >= lateLimit(slots))) {
+				refused.add(new Refused<>(entry.job.work(), Math.max(LEAST_RETURN_MILLIS, (long) start)));
+				continue;
+			}
+			if (starts) {
+				started.add(entry.job.work());
+				continue;
+			}
+			late += isLate ? 1 : 0;
+			work += entry.job.expectedMillis();
+			kept.add(entry);
+		}
+		this.waiting.clear();
+		this.waiting.addAll(kept);
+		this.running += started.size();
+		return new Decision<>(started, refused);
+	}
+
+	/**
+	 * Returns the number of running requests.
+	 * @return the number
+	 */
+	public int running() {
+		return this.running;
+	}
+
+	/**
+	 * Returns the number of waiting requests.
+	 * @return the number
+	 */
+	public int waiting() {
+		return this.waiting.size();
+	}
+
+	/**
+	 * Estimates the wait of one more request that goes behind all others.
+	 * @param slots requests that may run at a time
+	 * @return the time in milliseconds
+	 */
+	public long waitMillis(int slots) {
+		if (this.waiting.isEmpty() && this.running < slots) {
+			return 0;
+		}
+		return (long) startMillis(this.waiting.stream().mapToDouble((entry) -> entry.job.expectedMillis()).sum(),
+				slots);
+	}
+
+	private static double lateLimit(int slots) {
+		return Math.max(1, slots * LATE_PER_SLOT);
+	}
+
+	/**
+	 * Estimates when work starts that has other work ahead of it.
+	 * @param aheadMillis service time of the waiting work ahead
+	 * @param slots requests that run at a time
+	 * @return time until it starts, in milliseconds
+	 */
+	private double startMillis(double aheadMillis, int slots) {
+		return aheadMillis / Math.max(1, slots);
+	}
+
+	private static <T> Comparator<Entry<T>> order(long now) {
+		return Comparator.<Entry<T>>comparingInt((entry) -> entry.job.rank())
+			.thenComparing((entry) -> !entry.meets(now))
+			.thenComparingLong((entry) -> entry.job.objectiveAt())
+			.thenComparingLong((entry) -> entry.number);
+	}
+
+	/**
+	 * Work that asks for a slot.
+	 *
+	 * @param <T> type of the work
+	 * @param work the work
+	 * @param rank importance; lower goes first
+	 * @param objectiveAt when its answer becomes late, in monotonic milliseconds
+	 * @param deadlineAt when its caller stops waiting, in monotonic milliseconds
+	 * @param expectedMillis its expected time at the target
+	 */
+	public record Job<T>(T work, int rank, long objectiveAt, long deadlineAt, double expectedMillis) {
+
+	}
+
+	/**
+	 * What to do now.
+	 *
+	 * @param <T> type of the work
+	 * @param started work to start; it counts as running
+	 * @param refused work that is refused; it has not run and is forgotten
+	 */
+	public record Decision<T>(List<T> started, List<Refused<T>> refused) {
+
+		/**
+		 * Tells whether this decision refuses the given work.
+		 * @param work the work
+		 * @return the refusal, or empty
+		 */
+		public Optional<Refused<T>> refusal(T work) {
+			return this.refused.stream().filter((candidate) -> candidate.work() == work).findFirst();
+		}
+
+	}
+
+	/**
+	 * Work that was refused.
+	 *
+	 * @param <T> type of the work
+	 * @param work the work
+	 * @param returnMillis when its caller may come back
+	 */
+	public record Refused<T>(T work, long returnMillis) {
+
+	}
+
+	/**
+	 * Work that waits.
+	 *
+	 * @param <T> type of the work
+	 * @param job the work
+	 * @param number order of arrival
+	 */
+	private record Entry<T>(Job<T> job, long number) {
+
+		boolean meets(long start) {
+			return start + SAFETY * this.job.expectedMillis() <= this.job.objectiveAt();
+		}
+
+		boolean fits(long start) {
+			return start + this.job.expectedMillis() <= this.job.deadlineAt();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/RouteTable.java
@@ -0,0 +1,75 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Finds the route of a request: among the routes of its host, the one with the longest
+ * prefix of its path.
+ * <p>
+ * Prefixes end with a slash, so only the path's own slashes can end a match; the search
+ * shortens the path slash by slash and needs one look-up each, however many routes there
+ * are.
+ */
+public final class RouteTable {
+
+	/** Routes by prefix by host. */
+	private final Map<String, Map<String, MeshRoute>> routes = new HashMap<>();
+
+	/** All routes. */
+	private final List<MeshRoute> all;
+
+	/**
+	 * Creates a table.
+	 * @param routes the routes
+	 */
+	public RouteTable(Collection<MeshRoute> routes) {
+		this.all = List.copyOf(routes);
+		routes.forEach((route) -> this.routes.computeIfAbsent(route.host(), (host) -> new HashMap<>())
+			.put(route.prefix(), route));
+	}
+
+	/**
+	 * Returns every route.
+	 * @return the routes in the order of the configuration
+	 */
+	public List<MeshRoute> all() {
+		return this.all;
+	}
+
+	/**
+	 * Finds a route.
+	 * @param authority the request's host name, with or without a port
+	 * @param target the request's path, with or without a query
+	 * @return the route, or empty when none matches
+	 */
+	public Optional<MeshRoute> find(String authority, String target) {
+		Map<String, MeshRoute> ofHost = this.routes.get(host(authority));
+		if (ofHost == null) {
+			return Optional.empty();
+		}
+		int query = target.indexOf('?');
+		String path = (query < 0) ? target : target.substring(0, query);
+		for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+			MeshRoute route = ofHost.get(path.substring(0, end + 1));
+			if (route != null) {
+				return Optional.of(route);
+			}
+			if (end == 0) {
+				break;
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static String host(String authority) {
+		int port = authority.lastIndexOf(':');
+		String host = (port < 0) ? authority : authority.substring(0, port);
+		return host.toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/mesh/SourceDocument.java
@@ -0,0 +1,127 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A published document as this node knows it: its items, and the revision up to which
+ * this knowledge is complete.
+ * <p>
+ * The source numbers all changes with one counter, so of two nodes' knowledge the one
+ * with the higher revision includes the other. That makes it safe to take changes from
+ * the source and from peers in any order: whatever does not lead beyond the held revision
+ * is ignored, and the document never moves back.
+ * <p>
+ * Worked case: this node is at revision 40 and cut off from the source. A peer at 52
+ * sends what changed since 40; the node is then at 52. When the source returns and sends
+ * an event of revision 45, nothing changes.
+ */
+public final class SourceDocument {
+
+	/** Removals remembered for differences; older ones make a difference complete. */
+	private static final int MAX_REMOVALS = 1_000;
+
+	private final Map<String, SourceItem> items = new HashMap<>();
+
+	/** Revision of each remembered removal by key, the oldest first. */
+	private final Map<String, Long> removals = new LinkedHashMap<>();
+
+	/** Differences can be told from this revision on. */
+	private long knownSince;
+
+	/** Everything up to this revision is included; 0 before the first content. */
+	private long revision;
+
+	/**
+	 * Returns the revision up to which this document is complete.
+	 * @return the revision; 0 before the first content
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns the items.
+	 * @return the items in no particular order
+	 */
+	public Collection<SourceItem> items() {
+		return this.items.values();
+	}
+
+	/**
+	 * Returns what changed after a revision.
+	 * @param since the revision that the receiver holds
+	 * @return the difference, or the whole document when the difference is not known
+	 */
+	public SourceDelta since(long since) {
+		if (since == 0 || since < this.knownSince) {
+			return new SourceDelta(0, this.revision, List.copyOf(this.items.values()), List.of());
+		}
+		List<SourceItem> changed = this.items.values().stream().filter((item) -> item.revision() > since).toList();
+		List<String> removed = this.removals.entrySet()
+			.stream()
+			.filter((removal) -> removal.getValue() > since)
+			.map(Map.Entry::getKey)
+			.toList();
+		return new SourceDelta(since, this.revision, changed, removed);
+	}
+
+	/**
+	 * Takes over a difference, from the source or from a peer.
+	 * @param delta the difference
+	 * @return the keys that this node held and that are no longer published; null when
+	 * the difference leads nowhere or cannot be applied
+	 */
+	public List<String> apply(SourceDelta delta) {
+		if (delta.to() <= this.revision || delta.from() > this.revision) {
+			return null;
+		}
+		List<String> gone = (delta.from() == 0) ? absent(delta.items()) : delta.removed();
+		List<String> held = new ArrayList<>();
+		for (String key : gone) {
+			if (remove(key, delta.to())) {
+				held.add(key);
+			}
+		}
+		if (this.revision == 0) {
+			this.knownSince = delta.to();
+		}
+		delta.items().forEach(this::put);
+		this.revision = delta.to();
+		forget();
+		return held;
+	}
+
+	private List<String> absent(List<SourceItem> complete) {
+		List<String> absent = new ArrayList<>(this.items.keySet());
+		complete.forEach((item) -> absent.remove(item.key()));
+		return absent;
+	}
+
+	private boolean remove(String key, long at) {
+		this.removals.remove(key);
+		this.removals.put(key, at);
+		return this.items.remove(key) != null;
+	}
+
+	private void put(SourceItem item) {
+		SourceItem held = this.items.get(item.key());
+		if (held == null || held.revision() <= item.revision()) {
+			this.items.put(item.key(), item);
+			this.removals.remove(item.key());
+		}
+	}
+
+	private void forget() {
+		while (this.removals.size() > MAX_REMOVALS) {
+			Map.Entry<String, Long> oldest = this.removals.entrySet().iterator().next();
+			this.knownSince = Math.max(this.knownSince, oldest.getValue());
+			this.removals.remove(oldest.getKey());
+		}
+	}
+
+}
--- a/core/src/main/java/org/eelgrasspitch/misc/Fields.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/Fields.java
@@ -129,6 +129,66 @@
 		return has(key) ? integer(key, min, max) : absent;
 	}
 
+	/**
+	 * Reads a required whole number.
+	 * @param key the member's name
+	 * @param min least value allowed
+	 * @param max greatest value allowed
+	 * @return the number, or {@code min} after a problem was reported
+	 */
+	public long whole(String key, long min, long max) {
+		LocatedNode node = required(key);
+		if (node == null) {
+			return min;
+		}
+		if (!(node instanceof LocatedNode.IntegerNode number)) {
+			report(ErrorType.WRONG_TYPE, node.position(), key, "an integer");
+			return min;
+		}
+		if (number.value() < min || number.value() > max) {
+			report(ErrorType.OUT_OF_RANGE, node.position(), key, number.value(), min, max);
+			return min;
+		}
+		return number.value();
+	}
+
+	/**
+	 * Reads a required number, with or without a fraction.
+	 * @param key the member's name
+	 * @param min least value allowed
+	 * @param max greatest value allowed
+	 * @return the number, or {@code min} after a problem was reported
+	 */
+	public double number(String key, double min, double max) {
+		LocatedNode node = required(key);
+		if (node == null) {
+			return min;
+		}
+		double value = switch (node) {
+			case LocatedNode.IntegerNode number -> number.value();
+			case LocatedNode.OtherNode other -> decimal(other.text());
+			default -> Double.NaN;
+		};
+		if (Double.isNaN(value)) {
+			report(ErrorType.WRONG_TYPE, node.position(), key, "a number");
+			return min;
+		}
+		if (value < min || value > max) {
+			report(ErrorType.OUT_OF_RANGE, node.position(), key, value, min, max);
+			return min;
+		}
+		return value;
+	}
+
+	private static double decimal(String text) {
+		try {
+			return Double.parseDouble(text);
+		}
+		catch (NumberFormatException ex) {
+			return Double.NaN;
+		}
+	}
+
 	/**
 	 * Reads an optional truth value.
 	 * @param key the member's name
@@ -234,6 +294,16 @@
 		return (node != null) ? of(key, node, this.listener) : Optional.empty();
 	}
 
+	/**
+	 * Views an element of a list as an object.
+	 * @param key the list's name
+	 * @param element the element
+	 * @return a reader for it, or empty after a problem was reported
+	 */
+	public Optional<Fields> element(String key, LocatedNode element) {
+		return of("an element of \"" + key + "\"", element, this.listener);
+	}
+
 	/**
 	 * Checks the form of a name.
 	 * @param value the name
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefKeeper.java
@@ -0,0 +1,183 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.eelgrasspitch.mesh.DirectoryKeeper;
+import org.eelgrasspitch.mesh.MeshConfig;
+import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.mesh.SourceDocument;
+import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.misc.TimeSource;
+
+/**
+ * Keeps what is believed about configuration and targets, from the source and from peers,
+ * and publishes it to the traffic side as one immutable {@link View}. Everything here
+ * happens on the control thread.
+ * <p>
+ * A configuration is decoded as a whole before it replaces the former one, and only a
+ * newer version replaces it, so this node never moves back and never applies a part.
+ */
+final class BeliefKeeper implements SourceListener, DocumentExchange {
+
+	/** An absence of the source shorter than this lapses no entries. */
+	private static final long ABSENCE_MILLIS = 800;
+
+	private final ScheduledExecutorService control;
+
+	private final TimeSource time;
+
+	private final DocumentDecoder decoder;
+
+	private final DecisionLog log;
+
+	private final Consumer<View> publisher;
+
+	private final Runnable ahead;
+
+	private final Map<SourceChannel, SourceDocument> documents = new EnumMap<>(SourceChannel.class);
+
+	private final DirectoryKeeper directory = new DirectoryKeeper();
+
+	private final long[] changedAt = new long[SourceChannel.values().length];
+
+	/** The configuration in force; null before the first. */
+	private MeshConfig config;
+
+	BeliefKeeper(ScheduledExecutorService control, TimeSource time, DocumentDecoder decoder, DecisionLog log,
+			Consumer<View> publisher, Runnable ahead) {
+		this.control = control;
+		this.time = time;
+		this.decoder = decoder;
+		this.log = log;
+		this.publisher = publisher;
+		this.ahead = ahead;
+		for (SourceChannel channel : SourceChannel.values()) {
+			this.documents.put(channel, new SourceDocument());
+		}
+	}
+
+	@Override
+	public void read(SourceChannel channel, SourceDelta delta) {
+		take(channel, delta);
+	}
+
+	@Override
+	public void lost(String reason) {
+		this.log.log(LogEvent.SOURCE_LOST, "reason", reason, "config_revision", revision(SourceChannel.CONFIG),
+				"targets_revision", revision(SourceChannel.TARGETS));
+	}
+
+	@Override
+	public void returned(long absentMillis) {
+		this.log.log(LogEvent.SOURCE_RETURNED, "absent_ms", absentMillis);
+		if (absentMillis < ABSENCE_MILLIS) {
+			return;
+		}
+		this.directory.sourceReturned(this.time.monotonicMillis());
+		this.control.schedule(this::expire, DirectoryKeeper.RETURN_MILLIS + 1, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void since(SourceChannel channel, long since, Consumer<SourceDelta> answer) {
+		this.control.execute(() -> answer.accept(this.documents.get(channel).since(since)));
+	}
+
+	@Override
+	public void offer(SourceChannel channel, SourceDelta delta, String peer) {
+		this.control.execute(() -> {
+			long held = revision(channel);
+			if (take(channel, delta)) {
+				this.log.log(LogEvent.PEER_UPDATE, "peer", peer, "document", channel, "from_revision", held,
+						"to_revision", delta.to(), "items", delta.items().size());
+				this.ahead.run();
+			}
+		});
+	}
+
+	private long revision(SourceChannel channel) {
+		return this.documents.get(channel).revision();
+	}
+
+	private boolean take(SourceChannel channel, SourceDelta delta) {
+		List<String> removed = this.documents.get(channel).apply(delta);
+		if (removed == null) {
+			return false;
+		}
+		long now = this.time.monotonicMillis();
+		this.changedAt[channel.ordinal()] = now;
+		switch (channel) {
+			case CONFIG -> delta.items().forEach(this::config);
+			case TARGETS -> targets(delta, removed, now);
+		}
+		publish();
+		return true;
+	}
+
+	private void config(SourceItem item) {
+		Either<List<Problem>, MeshConfig> decoded = this.decoder.config(item);
+		if (decoded.isLeft()) {
+			this.log.log(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "problems", decoded.getLeft().size(),
+					"first", decoded.getLeft().getFirst());
+			return;
+		}
+		MeshConfig newest = decoded.get();
+		if (this.config != null && newest.version() <= this.config.version()) {
+			this.log.log(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "version", newest.version(), "held",
+					this.config.version());
+			return;
+		}
+		this.config = newest;
+		this.log.log(LogEvent.CONFIG_APPLIED, "version", newest.version(), "revision", item.revision(), "routes",
+				newest.routes().all().size());
+	}
+
+	private void targets(SourceDelta delta, List<String> removed, long now) {
+		for (String id : removed) {
+			this.directory.remove(id, now).ifPresent((entry) -> gone(entry, "removed"));
+		}
+		delta.items().forEach((item) -> target(item, now));
+	}
+
+	private void target(SourceItem item, long now) {
+		Either<List<Problem>, TargetEntry> decoded = this.decoder.target(item);
+		if (decoded.isLeft()) {
+			this.log.log(LogEvent.TARGET_IGNORED, "target", item.key(), "revision", item.revision(), "first",
+					decoded.getLeft().getFirst());
+			this.directory.remove(item.key(), now).ifPresent((entry) -> gone(entry, "unreadable"));
+			return;
+		}
+		TargetEntry entry = decoded.get();
+		if (this.directory.put(entry)) {
+			this.log.log(entry.draining() ? LogEvent.TARGET_LEAVING : LogEvent.TARGET_SEEN, "target", entry.id(),
+					"service", entry.service(), "address", entry.address(), "slots", entry.slots(), "revision",
+					item.revision());
+		}
+	}
+
+	private void gone(TargetEntry entry, String reason) {
+		this.log.log(LogEvent.TARGET_GONE, "target", entry.id(), "service", entry.service(), "reason", reason);
+	}
+
+	private void expire() {
+		List<TargetEntry> dropped = this.directory.expire(this.time.monotonicMillis());
+		dropped.forEach((entry) -> gone(entry, "lapsed"));
+		if (!dropped.isEmpty()) {
+			publish();
+		}
+	}
+
+	private void publish() {
+		long[] revisions = { revision(SourceChannel.CONFIG), revision(SourceChannel.TARGETS) };
+		this.publisher.accept(new View(this.config, this.directory.directory(), revision(SourceChannel.TARGETS) > 0,
+				revisions, this.changedAt.clone()));
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallFlow.java
@@ -0,0 +1,27 @@
+package org.eelgrasspitch.proxy;
+
+/**
+ * Takes what an entry sends for a call after its head.
+ */
+interface CallFlow {
+
+	/**
+	 * Sends a piece of the request's body.
+	 * @param content the bytes, possibly none
+	 * @param last whether the body is complete
+	 */
+	void data(byte[] content, boolean last);
+
+	/**
+	 * Permits more of the answer's body.
+	 * @param bytes number of bytes
+	 */
+	void credit(int bytes);
+
+	/**
+	 * Gives the call up. Work that waits is dropped; work that runs is ended when it may
+	 * be repeated, and otherwise left to finish. Nothing is reported afterwards.
+	 */
+	void cancel();
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -0,0 +1,337 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * A caller's connection. Requests that arrive behind one another are worked on together;
+ * their answers leave in the order of the requests.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	/** Requests of one connection that are worked on together. */
+	private static final int MAX_PIPELINED = 16;
+
+	/** How long a caller may take to close after the last answer. */
+	private static final long LINGER_MILLIS = 1_000;
+
+	/** Idle time beyond the limit before a connection is closed. */
+	private static final long IDLE_SLACK_MILLIS = 500;
+
+	private final EntryService service;
+
+	private final EntryServer server;
+
+	/** Requests without a complete answer, the oldest first. */
+	private final Deque<Exchange> exchanges = new ArrayDeque<>();
+
+	/** Parts of answers that wait for earlier answers. */
+	private final List<Part> waiting = new ArrayList<>();
+
+	private Channel channel;
+
+	/** The request whose body arrives; null between requests. */
+	private Exchange receiving;
+
+	/** No further request is read: an answer says that the connection closes. */
+	private boolean closing;
+
+	private boolean shut;
+
+	private long idleSince;
+
+	private ScheduledFuture<?> headTimer;
+
+	CallerConnection(EntryService service, EntryServer server) {
+		this.service = service;
+		this.server = server;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.channel = context.channel();
+		this.idleSince = this.service.fabric().now();
+		this.server.opened(this);
+	}
+
+	/**
+	 * Notes that the first bytes of a request have arrived.
+	 */
+	void headBegan() {
+		if (this.headTimer == null && this.receiving == null && !this.closing) {
+			this.headTimer = this.channel.eventLoop()
+				.schedule(this::headTimedOut, this.service.limits().headerTimeoutMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (this.closing && this.receiving == null) {
+				return;
+			}
+			if (!(message instanceof HttpObject part)) {
+				return;
+			}
+			if (part.decoderResult().isFailure()) {
+				malformed(part.decoderResult().cause());
+				return;
+			}
+			if (part instanceof HttpRequest request) {
+				begin(request);
+			}
+			if (part instanceof HttpContent content && this.receiving != null) {
+				body(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.closing = true;
+		this.shut = true;
+		cancelHeadTimer();
+		this.server.closed(this);
+		List<Exchange> open = new ArrayList<>(this.exchanges);
+		this.exchanges.clear();
+		this.waiting.clear();
+		open.forEach(Exchange::callerGone);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	/**
+	 * Closes the connection if it has been idle for longer than callers may expect.
+	 * @param now current monotonic time in milliseconds
+	 */
+	void checkIdle(long now) {
+		if (isIdle() && now - this.idleSince > this.service.limits().idleTimeoutMillis() + IDLE_SLACK_MILLIS) {
+			this.channel.close();
+		}
+	}
+
+	/**
+	 * Closes the connection if no request is in progress.
+	 */
+	void closeIfIdle() {
+		if (isIdle()) {
+			shut();
+		}
+	}
+
+	private boolean isIdle() {
+		return this.exchanges.isEmpty() && this.receiving == null && this.headTimer == null && !this.shut;
+	}
+
+	/**
+	 * Adds to an answer's head what concerns this connection.
+	 * @param exchange whose answer
+	 * @param response its head
+	 */
+	void prepare(Exchange exchange, HttpResponse response) {
+		boolean last = this.exchanges.peekLast() == exchange;
+		boolean stop = this.service.isStopping() && last;
+		if (exchange.request().keepAlive() && !stop && exchange.request().problem().isEmpty()) {
+			return;
+		}
+		this.closing = true;
+		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+	}
+
+	/**
+	 * Writes a part of an answer, now or when all earlier answers are complete.
+	 * @param exchange whose answer
+	 * @param part the part
+	 * @param creditBytes bytes of the body that it holds
+	 */
+	void emit(Exchange exchange, HttpObject part, int creditBytes) {
+		if (this.exchanges.peek() == exchange) {
+			write(new Part(exchange, part, creditBytes));
+			return;
+		}
+		this.waiting.add(new Part(exchange, part, creditBytes));
+	}
+
+	/**
+	 * An answer was handed over completely.
+	 * @param exchange whose answer
+	 */
+	void finished(Exchange exchange) {
+		if (this.exchanges.peek() == exchange) {
+			this.channel.flush();
+			advance();
+		}
+	}
+
+	/**
+	 * Ends the connection without completing the answer that is being written.
+	 */
+	void cut() {
+		this.closing = true;
+		this.shut = true;
+		this.channel.close();
+	}
+
+	/**
+	 * Reads on if nothing clogs the connection.
+	 */
+	void readOn() {
+		boolean clogged = this.receiving != null && this.receiving.isClogged();
+		this.channel.config().setAutoRead(!clogged && this.exchanges.size() < MAX_PIPELINED);
+	}
+
+	private void begin(HttpRequest received) {
+		cancelHeadTimer();
+		CallerRequest request = CallerRequest.of(received, this.service.fabric().names(),
+				this.service.fabric().settings().service());
+		Exchange exchange = new Exchange(this.service, this, request);
+		this.exchanges.add(exchange);
+		this.receiving = exchange;
+		if (HttpUtil.is100ContinueExpected(received)) {
+			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+		}
+		exchange.begin();
+		readOn();
+	}
+
+	private void body(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		Exchange current = this.receiving;
+		if (last) {
+			this.receiving = null;
+		}
+		if (current.request().hasBody()) {
+			current.body(ByteBufUtil.getBytes(content.content()), last);
+		}
+		if (this.exchanges.peek() == current && current.isComplete()) {
+			advance();
+		}
+		readOn();
+	}
+
+	private void malformed(Throwable cause) {
+		HttpResponseStatus status = (cause instanceof TooLongHttpHeaderException)
+				? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+		this.service.fabric()
+			.log()
+			.log(LogEvent.REQUEST_REFUSED, "request", "", "status", status.code(), "reason", String.valueOf(cause));
+		answerAndClose(status);
+	}
+
+	private void headTimedOut() {
+		this.headTimer = null;
+		answerAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+	}
+
+	private void answerAndClose(HttpResponseStatus status) {
+		this.closing = true;
+		if (!this.exchanges.isEmpty()) {
+			// Earlier requests are still to be answered; this one counts as not read.
+			this.receiving = null;
+			return;
+		}
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		this.channel.writeAndFlush(response);
+		shut();
+	}
+
+	private void cancelHeadTimer() {
+		if (this.headTimer != null) {
+			this.headTimer.cancel(false);
+			this.headTimer = null;
+		}
+	}
+
+	private void advance() {
+		while (!this.exchanges.isEmpty() && this.exchanges.peek().isComplete()) {
+			this.exchanges.poll();
+			writeWaiting();
+		}
+		this.idleSince = this.service.fabric().now();
+		if (this.closing && this.exchanges.isEmpty()) {
+			shut();
+			return;
+		}
+		readOn();
+	}
+
+	private void writeWaiting() {
+		Exchange next = this.exchanges.peek();
+		List<Part> ready = this.waiting.stream().filter((part) -> part.exchange() == next).toList();
+		this.waiting.removeAll(ready);
+		ready.forEach(this::write);
+		this.channel.flush();
+	}
+
+	private void write(Part part) {
+		if (part.creditBytes() == 0) {
+			this.channel.write(part.content());
+			return;
+		}
+		this.channel.writeAndFlush(part.content()).addListener((ChannelFutureListener) (future) -> {
+			if (future.isSuccess()) {
+				part.exchange().written(part.creditBytes());
+			}
+		});
+	}
+
+	/**
+	 * Ends the outgoing direction and waits for the caller to close, so that the last
+	 * answer is not lost to a reset.
+	 */
+	private void shut() {
+		if (this.shut) {
+			return;
+		}
+		this.shut = true;
+		this.closing = true;
+		this.channel.config().setAutoRead(true);
+		this.channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+			.addListener((future) -> ((DuplexChannel) this.channel).shutdownOutput());
+		this.channel.eventLoop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * A part of an answer.
+	 *
+	 * @param exchange whose answer
+	 * @param content the part
+	 * @param creditBytes bytes of the body that it holds
+	 */
+	private record Part(Exchange exchange, HttpObject content, int creditBytes) {
+
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerRequest.java
@@ -0,0 +1,94 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * A caller's request without its body.
+ *
+ * @param id the caller's identifier of this attempt; empty when it is missing
+ * @param method the method
+ * @param uri path and query as received
+ * @param host the host name that selects the route
+ * @param headers fields that travel on, names and values in turn
+ * @param bodyLength length of the body; {@link CallHead#CHUNKED} or
+ * {@link CallHead#NO_BODY}
+ * @param allowedMillis how long the caller waits; empty when it does not say
+ * @param keepAlive whether the caller wants to go on using the connection
+ * @param problem why the request cannot be processed; empty when it can
+ */
+record CallerRequest(String id, String method, String uri, String host, List<String> headers, long bodyLength,
+		Optional<Long> allowedMillis, boolean keepAlive, Optional<HttpResponseStatus> problem) {
+
+	/** Longest time that a caller can ask for, in milliseconds. */
+	private static final long MAX_ALLOWED_MILLIS = 3_600_000;
+
+	/**
+	 * Reads a request.
+	 * @param request what was received
+	 * @param names names of header fields
+	 * @param callerService what targets are told about the place where it began
+	 * @return the request
+	 */
+	static CallerRequest of(HttpRequest request, HeaderNames names, String callerService) {
+		HttpHeaders headers = request.headers();
+		String id = headers.get(names.requestId(), "");
+		String host = headers.get(HttpHeaderNames.HOST, "");
+		Set<String> dropped = Set.of(lower(names.callerService()), lower(names.expectedTarget()),
+				lower(names.remainingMillis()));
+		List<String> travelling = Headers.travelling(headers, dropped);
+		travelling.add(names.callerService());
+		travelling.add(callerService);
+		boolean readable = !id.isEmpty() && !host.isEmpty() && isFramedOnce(request);
+		return new CallerRequest(id, request.method().name(), request.uri(), host, travelling,
+				Headers.bodyLength(request, CallHead.NO_BODY), allowed(headers.get(names.remainingMillis())),
+				HttpUtil.isKeepAlive(request),
+				readable ? Optional.empty() : Optional.of(HttpResponseStatus.BAD_REQUEST));
+	}
+
+	boolean hasBody() {
+		return this.bodyLength == CallHead.CHUNKED || this.bodyLength > 0;
+	}
+
+	/**
+	 * Checks that a request has one framing only; two would let one request hide another.
+	 * @param request the request
+	 * @return true when its length is beyond doubt
+	 */
+	private static boolean isFramedOnce(HttpRequest request) {
+		HttpHeaders headers = request.headers();
+		if (!headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+			return true;
+		}
+		return HttpUtil.isTransferEncodingChunked(request) && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+				&& request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+	}
+
+	private static String lower(String name) {
+		return name.toLowerCase(Locale.ROOT);
+	}
+
+	private static Optional<Long> allowed(String text) {
+		if (text == null) {
+			return Optional.empty();
+		}
+		try {
+			long millis = Long.parseLong(text.trim());
+			return Optional.of(Math.clamp(millis, 1, MAX_ALLOWED_MILLIS));
+		}
+		catch (NumberFormatException ex) {
+			// The route's own timeout holds for a caller that does not say it properly.
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
@@ -0,0 +1,158 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Listens for callers and for the deployment's question whether this node is ready.
+ */
+final class EntryServer {
+
+	private static final int MAX_LINE_BYTES = 65_536;
+
+	private static final int MAX_CHUNK_BYTES = 16_384;
+
+	/** How often idle connections are looked for. */
+	private static final long IDLE_CHECK_MILLIS = 1_000;
+
+	private final EntryService service;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private Channel entry;
+
+	EntryServer(EntryService service) {
+		this.service = service;
+	}
+
+	void start() {
+		Fabric fabric = this.service.fabric();
+		this.entry = Connections.server(fabric.loop())
+			.childHandler(entryInitializer())
+			.bind(fabric.settings().entryAddress())
+			.syncUninterruptibly()
+			.channel();
+		Connections.server(fabric.loop())
+			.childHandler(readinessInitializer())
+			.bind(fabric.settings().readinessAddress())
+			.syncUninterruptibly();
+		fabric.loop().scheduleAtFixedRate(this::checkIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	void opened(CallerConnection connection) {
+		this.connections.add(connection);
+	}
+
+	void closed(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	void closeIdle() {
+		new ArrayList<>(this.connections).forEach(CallerConnection::closeIfIdle);
+	}
+
+	void stopListening() {
+		this.entry.close();
+	}
+
+	private void checkIdle() {
+		long now = this.service.fabric().now();
+		new ArrayList<>(this.connections).forEach((connection) -> connection.checkIdle(now));
+	}
+
+	private ChannelInitializer<Channel> entryInitializer() {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				CallerConnection connection = new CallerConnection(EntryServer.this.service, EntryServer.this);
+				int headers = EntryServer.this.service.limits().maxHeaderBytes();
+				channel.pipeline()
+					.addLast(new HeadWatch(connection))
+					.addLast(new HttpServerCodec(Math.min(MAX_LINE_BYTES, headers), headers, MAX_CHUNK_BYTES))
+					.addLast(connection);
+			}
+		};
+	}
+
+	private ChannelInitializer<Channel> readinessInitializer() {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline().addLast(new HttpServerCodec()).addLast(new Readiness(EntryServer.this.service));
+			}
+		};
+	}
+
+	/**
+	 * Tells a connection when the first bytes of a request arrive.
+	 */
+	private static final class HeadWatch extends ChannelInboundHandlerAdapter {
+
+		private final CallerConnection connection;
+
+		HeadWatch(CallerConnection connection) {
+			this.connection = connection;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (message instanceof ByteBuf bytes && bytes.isReadable()) {
+				this.connection.headBegan();
+			}
+			context.fireChannelRead(message);
+		}
+
+	}
+
+	/**
+	 * Answers whether this node is ready.
+	 */
+	private static final class Readiness extends ChannelInboundHandlerAdapter {
+
+		private final EntryService service;
+
+		Readiness(EntryService service) {
+			this.service = service;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (message instanceof HttpRequest request) {
+				DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+						status(request.uri()));
+				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+				context.writeAndFlush(response);
+			}
+			ReferenceCountUtil.release(message);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+		private HttpResponseStatus status(String uri) {
+			if (!uri.equals(this.service.fabric().names().readinessPath())) {
+				return HttpResponseStatus.NOT_FOUND;
+			}
+			return this.service.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -0,0 +1,194 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.eelgrasspitch.mesh.AttemptBudget;
+import org.eelgrasspitch.mesh.CallerLimits;
+import org.eelgrasspitch.mesh.Candidate;
+import org.eelgrasspitch.mesh.MeshRoute;
+import org.eelgrasspitch.mesh.Placement;
+import org.eelgrasspitch.mesh.TargetEntry;
+
+/**
+ * What all requests of this entry share: the documents in force, the links, the choice of
+ * targets and the budget of repeats.
+ */
+final class EntryService {
+
+	/** Fraction of the golden ratio: spreads draws evenly, whatever their number. */
+	private static final double DRAW_STEP = 0.618033988749895;
+
+	/** Routes whose usual time is remembered. */
+	private static final int MAX_ROUTES = 2_048;
+
+	private final Fabric fabric;
+
+	private final Home home;
+
+	private final Links links;
+
+	private final Placement placement;
+
+	private final AttemptBudget budget;
+
+	/** Longest time that callers of a route have allowed, in milliseconds. */
+	private final Map<String, Long> usualMillis = new HashMap<>();
+
+	private View view = View.EMPTY;
+
+	private double draw;
+
+	private int active;
+
+	private boolean stopping;
+
+	EntryService(Fabric fabric, Home home, Links links) {
+		this.fabric = fabric;
+		this.home = home;
+		this.links = links;
+		this.placement = new Placement(fabric.random());
+		this.budget = new AttemptBudget(fabric.settings().retryRatio(), fabric.settings().retryMinimum(),
+				fabric.settings().retryWindowMillis());
+		this.draw = fabric.random().nextDouble();
+	}
+
+	Fabric fabric() {
+		return this.fabric;
+	}
+
+	View view() {
+		return this.view;
+	}
+
+	void use(View newest) {
+		this.view = newest;
+	}
+
+	CallerLimits limits() {
+		return (this.view.config() != null) ? this.view.config().limits() : CallerLimits.DEFAULT;
+	}
+
+	boolean isReady() {
+		return this.view.isComplete() && !this.stopping;
+	}
+
+	boolean isStopping() {
+		return this.stopping;
+	}
+
+	void stop() {
+		this.stopping = true;
+	}
+
+	int active() {
+		return this.active;
+	}
+
+	void began() {
+		this.active++;
+	}
+
+	void ended() {
+		this.active--;
+	}
+
+	/**
+	 * Returns how long a caller has probably been trying already: callers who repeat a
+	 * request allow it only what is left of their usual time.
+	 * @param route the route
+	 * @param allowedMillis what the caller allows now
+	 * @return the time in milliseconds
+	 */
+	long elapsedMillis(MeshRoute route, long allowedMillis) {
+		if (this.usualMillis.size() >= MAX_ROUTES && !this.usualMillis.containsKey(route.name())) {
+			return 0;
+		}
+		return this.usualMillis.merge(route.name(), allowedMillis, Math::max) - allowedMillis;
+	}
+
+	/**
+	 * Selects the service of a request.
+	 * @param route its route
+	 * @return the service's name
+	 */
+	String service(MeshRoute route) {
+		this.draw = (this.draw + DRAW_STEP) % 1;
+		return route.destination(this.draw);
+	}
+
+	/**
+	 * Chooses a target.
+	 * @param service the service
+	 * @param tried identifiers of targets that are passed over
+	 * @param objectiveMillis time left until the answer is late
+	 * @return the choice, or empty when no target takes requests
+	 */
+	Optional<TargetEntry> choose(String service, Set<String> tried, long objectiveMillis) {
+		List<Candidate> candidates = new ArrayList<>();
+		for (TargetEntry entry : this.view.directory().of(service)) {
+			if (!entry.draining() && !tried.contains(entry.id())) {
+				candidate(entry).ifPresent(candidates::add);
+			}
+		}
+		return this.placement.choose(candidates, objectiveMillis)
+			.flatMap((choice) -> this.view.directory().find(choice.id()));
+	}
+
+	/**
+	 * Tells whether a service has targets without a link, to which one may be opened
+	 * soon.
+	 * @param service the service
+	 * @return true when it has
+	 */
+	boolean hasUnlinked(String service) {
+		return this.view.directory()
+			.of(service)
+			.stream()
+			.anyMatch((entry) -> !entry.draining() && !isOwn(entry) && this.links.to(entry).isEmpty());
+	}
+
+	/**
+	 * Opens a call to a target.
+	 * @param target the target
+	 * @param head the call
+	 * @param sink receives the answer
+	 * @return where the rest of the call goes; null when the link is no longer open
+	 */
+	CallFlow open(TargetEntry target, CallHead head, CallSink sink) {
+		if (isOwn(target)) {
+			return this.home.accept(head, sink);
+		}
+		return this.links.to(target).map((link) -> link.open(head, sink)).orElse(null);
+	}
+
+	void firstSend(String service) {
+		this.budget.sent(service, this.fabric.now());
+	}
+
+	boolean tryRepeat(String service) {
+		return this.budget.tryTake(service, this.links.nodes(), this.fabric.now());
+	}
+
+	int repeatsLeft(String service) {
+		return this.budget.left(service, this.links.nodes(), this.fabric.now());
+	}
+
+	private boolean isOwn(TargetEntry entry) {
+		return entry.address().equals(this.fabric.settings().targetAddress());
+	}
+
+	private Optional<Candidate> candidate(TargetEntry entry) {
+		boolean near = entry.failureDomain().equals(this.fabric.settings().failureDomain());
+		if (isOwn(entry)) {
+			return Optional.of(new Candidate(entry.id(), near, this.home.load(), 0, entry.coldMillis()));
+		}
+		return this.links.to(entry)
+			.map((link) -> new Candidate(entry.id(), near, link.load(), link.sentSince(), entry.coldMillis()));
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Fabric.java
@@ -0,0 +1,25 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import org.eelgrasspitch.misc.TimeSource;
+
+/**
+ * What every part of the traffic side needs.
+ *
+ * @param settings what this node was told
+ * @param names names of header fields
+ * @param loop the event loop on which everything about requests happens
+ * @param time source of time
+ * @param random source of randomness
+ * @param log the decision log
+ */
+record Fabric(ProxySettings settings, HeaderNames names, EventLoop loop, TimeSource time, RandomGenerator random,
+		DecisionLog log) {
+
+	long now() {
+		return this.time.monotonicMillis();
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Headers.java
@@ -0,0 +1,96 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpUtil;
+
+/**
+ * Selects the header fields that travel on with a message.
+ */
+final class Headers {
+
+	/** Fields that concern one connection, or that frame a body on it. */
+	private static final Set<String> ONE_CONNECTION = Set.of("connection", "keep-alive", "proxy-connection", "te",
+			"trailer", "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate",
+			"proxy-authorization");
+
+	private Headers() {
+	}
+
+	/**
+	 * Returns the fields that travel on.
+	 * @param headers all fields
+	 * @param dropped further fields, in lower case, that do not travel on
+	 * @return names and values in turn
+	 */
+	static List<String> travelling(HttpHeaders headers, Set<String> dropped) {
+		Set<String> listed = connectionFields(headers);
+		List<String> kept = new ArrayList<>(headers.size() * 2);
+		for (Map.Entry<String, String> field : headers) {
+			String name = field.getKey().toLowerCase(Locale.ROOT);
+			if (!ONE_CONNECTION.contains(name) && !dropped.contains(name) && !listed.contains(name)) {
+				kept.add(field.getKey());
+				kept.add(field.getValue());
+			}
+		}
+		return kept;
+	}
+
+	/**
+	 * Adds fields to a message.
+	 * @param fields names and values in turn
+	 * @param headers where they are added
+	 */
+	static void add(List<String> fields, HttpHeaders headers) {
+		for (int i = 0; i + 1 < fields.size(); i += 2) {
+			headers.add(fields.get(i), fields.get(i + 1));
+		}
+	}
+
+	/**
+	 * Finds a field.
+	 * @param fields names and values in turn
+	 * @param name its name
+	 * @return its first value, or null
+	 */
+	static String find(List<String> fields, String name) {
+		for (int i = 0; i + 1 < fields.size(); i += 2) {
+			if (fields.get(i).equalsIgnoreCase(name)) {
+				return fields.get(i + 1);
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Returns how the body of a message is framed.
+	 * @param message the message
+	 * @param absent what holds when neither a length nor chunks are announced
+	 * @return the length, {@link CallHead#CHUNKED} or {@code absent}
+	 */
+	static long bodyLength(HttpMessage message, long absent) {
+		if (HttpUtil.isTransferEncodingChunked(message)) {
+			return CallHead.CHUNKED;
+		}
+		return HttpUtil.getContentLength(message, absent);
+	}
+
+	private static Set<String> connectionFields(HttpHeaders headers) {
+		Set<String> listed = new HashSet<>();
+		for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+			for (String name : value.split(",")) {
+				listed.add(name.trim().toLowerCase(Locale.ROOT));
+			}
+		}
+		return listed;
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -0,0 +1,332 @@
+package org.eelgrasspitch.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import org.eelgrasspitch.mesh.Directory;
+import org.eelgrasspitch.mesh.HomeLoad;
+import org.eelgrasspitch.mesh.HomeQueue;
+import org.eelgrasspitch.mesh.HomeQueue.Decision;
+import org.eelgrasspitch.mesh.HomeQueue.Job;
+import org.eelgrasspitch.mesh.ServiceTimes;
+import org.eelgrasspitch.mesh.TargetEntry;
+
+/**
+ * The home of the target on this VM. Every request for the target passes here, so the
+ * home knows exactly how many run and lets the target itself never queue.
+ * <p>
+ * A call waits in {@link HomeQueue} until a slot is free, and is then written to a
+ * connection of its own. Until that write a refusal is certainly true. A target that
+ * cannot be connected to is down: its calls are refused at once, and the home tries a
+ * connection every {@link #TRIAL_MILLIS} until one succeeds.
+ */
+final class Home {
+
+	/** Slots assumed while the target has not published any. */
+	private static final int DEFAULT_SLOTS = 4;
+
+	/** How often the queue is looked at for requests that ran out of time. */
+	private static final long TICK_MILLIS = 50;
+
+	/** How often a target that is down is tried. */
+	private static final long TRIAL_MILLIS = 400;
+
+	/** When a caller of a target that is down, or leaving, may come back. */
+	private static final int DOWN_RETURN_MILLIS = 500;
+
+	/**
+	 * Longest time a connection may have been idle before it carries a request that must
+	 * not run twice: far below any idle timeout, so the target is not just closing it.
+	 */
+	private static final long FRESH_MILLIS = 1_000;
+
+	/** Idle connections kept to the target. */
+	private static final int MAX_IDLE = 32;
+
+	/** Weight of one more outcome in the failure share. */
+	private static final double FAILURE_WEIGHT = 0.08;
+
+	private static final int PERCENT = 100;
+
+	private final Fabric fabric;
+
+	private final Bootstrap bootstrap;
+
+	private final HomeQueue<HomeCall> queue = new HomeQueue<>();
+
+	private final ServiceTimes times = new ServiceTimes();
+
+	/** Idle connections, the most recently used first. */
+	private final Deque<TargetConnection> idle = new ArrayDeque<>();
+
+	/** The target's own entry; null while none is published. */
+	private TargetEntry entry;
+
+	private int slots = DEFAULT_SLOTS;
+
+	private boolean down;
+
+	private boolean leaving;
+
+	private double failureShare;
+
+	private boolean ticking;
+
+	private Runnable stateListener = () -> {
+	};
+
+	Home(Fabric fabric) {
+		this.fabric = fabric;
+		this.bootstrap = Connections.client(fabric.loop());
+	}
+
+	void onStateChange(Runnable listener) {
+		this.stateListener = listener;
+	}
+
+	/**
+	 * Takes over a new directory.
+	 * @param directory the targets that exist
+	 */
+	void use(Directory directory) {
+		Optional<TargetEntry> own = directory.at(this.fabric.settings().service(),
+				this.fabric.settings().targetAddress());
+		if (own.isEmpty()) {
+			return;
+		}
+		if (this.entry == null || !this.entry.id().equals(own.get().id())
+				|| this.entry.bornMillis() != own.get().bornMillis()) {
+			this.failureShare = 0;
+			closeIdle();
+		}
+		this.entry = own.get();
+		this.slots = this.entry.slots();
+	}
+
+	HomeLoad load() {
+		return new HomeLoad(state(), this.queue.running(), this.queue.waiting(), this.slots,
+				(int) this.queue.waitMillis(this.slots), (int) this.times.overall(),
+				(int) (this.failureShare * PERCENT));
+	}
+
+	int inProgress() {
+		return this.queue.running() + this.queue.waiting();
+	}
+
+	void leave() {
+		this.leaving = true;
+		this.stateListener.run();
+	}
+
+	/**
+	 * Takes a call.
+	 * @param head the call
+	 * @param sink receives the answer
+	 * @return where the rest of the call goes
+	 */
+	CallFlow accept(CallHead head, CallSink sink) {
+		HomeCall call = new HomeCall(this, head, sink);
+		if (this.leaving) {
+			refuse(call, FailureReason.LEAVING, DOWN_RETURN_MILLIS);
+			return call;
+		}
+		if (this.down) {
+			refuse(call, FailureReason.TARGET_DOWN, DOWN_RETURN_MILLIS);
+			return call;
+		}
+		carryOut(this.queue.offer(
+				new Job<>(call, head.rank(), head.objectiveAt(), head.deadlineAt(), this.times.expected(head.route())),
+				this.slots, this.fabric.now()));
+		return call;
+	}
+
+	void cancelled(HomeCall call) {
+		if (call.isEnded()) {
+			return;
+		}
+		if (call.isWaiting()) {
+			this.queue.remove(call);
+			call.end();
+			return;
+		}
+		if (call.head().idempotent() && call.connection() != null) {
+			TargetConnection connection = call.connection();
+			call.end();
+			connection.abort();
+			released();
+		}
+	}
+
+	/**
+	 * A call has ended at the target.
+	 * @param call the call
+	 * @param good whether the target served it
+	 */
+	void finished(HomeCall call, boolean good) {
+		long took = this.fabric.now() - call.startedAt();
+		if (good) {
+			this.times.observed(call.head().route(), took);
+		}
+		this.failureShare += FAILURE_WEIGHT * ((good ? 0 : 1) - this.failureShare);
+		released();
+	}
+
+	void idle(TargetConnection connection) {
+		if (this.idle.size() >= MAX_IDLE) {
+			connection.abort();
+			return;
+		}
+		this.idle.push(connection);
+	}
+
+	void closed(TargetConnection connection) {
+		this.idle.remove(connection);
+	}
+
+	HeaderNames names() {
+		return this.fabric.names();
+	}
+
+	long now() {
+		return this.fabric.now();
+	}
+
+	void fail(HomeCall call, FailureReason reason, boolean reached, boolean mayHaveRun) {
+		this.fabric.log()
+			.log(LogEvent.CALL_FAILED, "request", call.head().requestId(), "target", call.head().target(), "reason",
+					reason.word(), "may_have_run", mayHaveRun, "after_ms", now() - call.startedAt());
+		call.failed(new CallFailure(reason, reached, mayHaveRun, 0, load()));
+	}
+
+	private HomeLoad.State state() {
+		if (this.leaving) {
+			return HomeLoad.State.LEAVING;
+		}
+		return this.down ? HomeLoad.State.DOWN : HomeLoad.State.UP;
+	}
+
+	private void released() {
+		carryOut(this.queue.release(this.slots, this.fabric.now()));
+	}
+
+	private void carryOut(Decision<HomeCall> decision) {
+		decision.refused()
+			.forEach((refused) -> refuse(refused.work(), FailureReason.OVERLOADED, (int) refused.returnMillis()));
+		decision.started().forEach(this::start);
+		if (this.queue.waiting() > 0 && !this.ticking) {
+			this.ticking = true;
+			this.fabric.loop().schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void tick() {
+		this.ticking = false;
+		carryOut(this.queue.next(this.slots, this.fabric.now()));
+	}
+
+	private void refuse(HomeCall call, FailureReason reason, int returnMillis) {
+		this.fabric.log()
+			.log(LogEvent.CALL_REFUSED, "request", call.head().requestId(), "reason", reason.word(), "running",
+					this.queue.running(), "waiting", this.queue.waiting(), "slots", this.slots, "left_ms",
+					call.head().deadlineAt() - now(), "return_ms", returnMillis);
+		call.failed(CallFailure.notSent(reason, returnMillis, load()));
+	}
+
+	private void start(HomeCall call) {
+		call.started(now());
+		TargetConnection connection = takeIdle(call.head().idempotent());
+		if (connection != null) {
+			connection.send(call);
+			return;
+		}
+		connect(call);
+	}
+
+	private TargetConnection takeIdle(boolean idempotent) {
+		long now = now();
+		Iterator<TargetConnection> connections = this.idle.iterator();
+		while (connections.hasNext()) {
+			TargetConnection connection = connections.next();
+			if (!connection.isUsable(now)) {
+				connections.remove();
+				connection.abort();
+				continue;
+			}
+			if (idempotent || connection.idleMillis(now) <= FRESH_MILLIS) {
+				connections.remove();
+				return connection;
+			}
+		}
+		return null;
+	}
+
+	private void connect(HomeCall call) {
+		InetSocketAddress address = this.fabric.settings().targetAddress();
+		this.bootstrap.clone().handler(TargetConnection.initializer(this)).connect(address).addListener((future) -> {
+			Channel channel = ((io.netty.channel.ChannelFuture) future).channel();
+			connected(call, future.isSuccess() ? channel.pipeline().get(TargetConnection.class) : null);
+		});
+	}
+
+	private void connected(HomeCall call, TargetConnection connection) {
+		if (connection == null) {
+			wentDown();
+			if (!call.isEnded()) {
+				refuse(call, FailureReason.TARGET_DOWN, DOWN_RETURN_MILLIS);
+			}
+			released();
+			return;
+		}
+		if (call.isEnded() || call.isAbandoned()) {
+			call.end();
+			connection.release();
+			released();
+			return;
+		}
+		connection.send(call);
+	}
+
+	private void wentDown() {
+		if (this.down) {
+			return;
+		}
+		this.down = true;
+		this.fabric.log().log(LogEvent.TARGET_DOWN, "address", this.fabric.settings().targetAddress());
+		closeIdle();
+		this.stateListener.run();
+		scheduleTrial();
+	}
+
+	private void scheduleTrial() {
+		this.fabric.loop().schedule(this::tryTarget, TRIAL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void tryTarget() {
+		this.bootstrap.clone()
+			.handler(TargetConnection.initializer(this))
+			.connect(this.fabric.settings().targetAddress())
+			.addListener((future) -> {
+				if (!future.isSuccess()) {
+					scheduleTrial();
+					return;
+				}
+				this.down = false;
+				this.fabric.log().log(LogEvent.TARGET_UP, "address", this.fabric.settings().targetAddress());
+				((io.netty.channel.ChannelFuture) future).channel().pipeline().get(TargetConnection.class).release();
+				this.stateListener.run();
+			});
+	}
+
+	private void closeIdle() {
+		while (!this.idle.isEmpty()) {
+			this.idle.pop().abort();
+		}
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/IncomingCall.java
@@ -0,0 +1,69 @@
+package org.eelgrasspitch.proxy;
+
+import java.nio.ByteBuffer;
+
+import org.eelgrasspitch.proxy.generated.LinkCredit;
+import org.eelgrasspitch.proxy.generated.LinkData;
+import org.eelgrasspitch.proxy.generated.LinkMessage;
+
+/**
+ * A call that another node has placed on this one: passes the home's answer to the link.
+ */
+final class IncomingCall implements CallSink {
+
+	private final Link link;
+
+	private final long stream;
+
+	/** Where the rest of the call goes; null until the home took it. */
+	private CallFlow flow;
+
+	private boolean ended;
+
+	IncomingCall(Link link, long stream) {
+		this.link = link;
+		this.stream = stream;
+	}
+
+	void use(CallFlow taken) {
+		this.flow = taken;
+	}
+
+	CallFlow flow() {
+		return this.flow;
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	@Override
+	public void replied(ReplyHead head) {
+		this.link.send(LinkMessage.reply(LinkFrames.wire(this.stream, head)));
+	}
+
+	@Override
+	public void data(byte[] content, boolean last) {
+		this.link.send(LinkMessage.data(new LinkData(this.stream, false, ByteBuffer.wrap(content), last)));
+		if (last) {
+			end();
+		}
+	}
+
+	@Override
+	public void credit(int bytes) {
+		this.link.send(LinkMessage.credit(new LinkCredit(this.stream, true, bytes)));
+	}
+
+	@Override
+	public void failed(CallFailure failure) {
+		this.link.send(LinkMessage.failure(LinkFrames.wire(this.stream, failure)));
+		end();
+	}
+
+	private void end() {
+		this.ended = true;
+		this.link.ended(this.stream);
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
@@ -0,0 +1,134 @@
+package org.eelgrasspitch.proxy;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.eelgrasspitch.mesh.HomeLoad;
+import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.proxy.generated.LinkCall;
+import org.eelgrasspitch.proxy.generated.LinkDocument;
+import org.eelgrasspitch.proxy.generated.LinkFailure;
+import org.eelgrasspitch.proxy.generated.LinkItem;
+import org.eelgrasspitch.proxy.generated.LinkLoad;
+import org.eelgrasspitch.proxy.generated.LinkMessage;
+import org.eelgrasspitch.proxy.generated.LinkReply;
+
+/**
+ * Translates between messages of links and this program's types, and between messages and
+ * bytes. Anything that no correct node would send is reported as an exception, which
+ * closes its link.
+ */
+final class LinkFrames {
+
+	/** Longest frame: a complete configuration of the largest size with room to spare. */
+	static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+	private static final int MAX_DEPTH = 16;
+
+	private static final int MAX_ELEMENTS = 65_536;
+
+	private static final int INITIAL_BYTES = 256;
+
+	private static final int UNLIMITED = -1;
+
+	private static final TConfiguration LIMITS = new TConfiguration(MAX_FRAME_BYTES, MAX_FRAME_BYTES, MAX_DEPTH);
+
+	private LinkFrames() {
+	}
+
+	static byte[] encode(LinkMessage message) {
+		try {
+			TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+			message.write(new TCompactProtocol(buffer));
+			return Arrays.copyOf(buffer.getArray(), buffer.length());
+		}
+		catch (TException ex) {
+			throw new IllegalStateException("writing to memory failed", ex);
+		}
+	}
+
+	static LinkMessage decode(byte[] content) throws TException {
+		LinkMessage message = new LinkMessage();
+		message.read(new TCompactProtocol(new TMemoryInputTransport(LIMITS, content), UNLIMITED, MAX_ELEMENTS));
+		if (message.getSetField() == null) {
+			throw new TException("unknown kind of message");
+		}
+		return message;
+	}
+
+	static LinkLoad wire(HomeLoad load) {
+		return new LinkLoad((byte) load.state().ordinal(), load.running(), load.waiting(), load.slots(),
+				load.waitMillis(), load.serviceMillis(), load.failurePercent());
+	}
+
+	static HomeLoad load(LinkLoad load) {
+		HomeLoad.State state = constant(HomeLoad.State.values(), load.getState());
+		return new HomeLoad(state, load.getRunning(), load.getWaiting(), load.getSlots(), load.getWaitMillis(),
+				load.getServiceMillis(), load.getFailurePercent());
+	}
+
+	static LinkCall wire(long stream, CallHead head, long now) {
+		return new LinkCall(stream, head.route(), head.target(), head.requestId(), head.method(), head.uri(),
+				head.headers(), (int) Math.max(0, head.deadlineAt() - now), (int) (head.objectiveAt() - now),
+				head.rank(), head.idempotent(), head.bodyLength());
+	}
+
+	static CallHead head(LinkCall call, long now) {
+		return new CallHead(call.getRequestId(), call.getRoute(), call.getTarget(), call.getMethod(), call.getUri(),
+				call.getHeaders(), now + call.getRemainingMillis(), now + call.getObjectiveMillis(), call.getRank(),
+				call.isIdempotent(), call.getBodyLength());
+	}
+
+	static LinkReply wire(long stream, ReplyHead reply) {
+		return new LinkReply(stream, reply.status(), reply.headers(), reply.bodyLength(), wire(reply.load()));
+	}
+
+	static ReplyHead reply(LinkReply reply) {
+		return new ReplyHead(reply.getStatus(), reply.getHeaders(), reply.getBodyLength(), load(reply.getLoad()));
+	}
+
+	static LinkFailure wire(long stream, CallFailure failure) {
+		return new LinkFailure(stream, (byte) failure.reason().ordinal(), failure.reachedTarget(), failure.mayHaveRun(),
+				failure.returnMillis(), wire(failure.load()));
+	}
+
+	static CallFailure failure(LinkFailure failure) {
+		return new CallFailure(constant(FailureReason.values(), failure.getReason()), failure.isReachedTarget(),
+				failure.isMayHaveRun(), failure.getReturnMillis(), load(failure.getLoad()));
+	}
+
+	static LinkDocument wire(SourceChannel channel, SourceDelta delta) {
+		List<LinkItem> items = delta.items()
+			.stream()
+			.map((item) -> new LinkItem(item.key(), ByteBuffer.wrap(item.value()), item.revision()))
+			.toList();
+		return new LinkDocument((byte) channel.ordinal(), delta.from(), delta.to(), items, delta.removed());
+	}
+
+	static SourceDelta delta(LinkDocument document) {
+		List<SourceItem> items = document.getItems()
+			.stream()
+			.map((item) -> new SourceItem(item.getKey(), item.getValue(), item.getRevision()))
+			.toList();
+		return new SourceDelta(document.getSince(), document.getUpTo(), items, document.getRemoved());
+	}
+
+	static SourceChannel channel(byte ordinal) {
+		return constant(SourceChannel.values(), ordinal);
+	}
+
+	private static <E> E constant(E[] constants, int ordinal) {
+		if (ordinal < 0 || ordinal >= constants.length) {
+			throw new IllegalArgumentException("no constant " + ordinal);
+		}
+		return constants[ordinal];
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -0,0 +1,92 @@
+package org.eelgrasspitch.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Fields;
+import org.eelgrasspitch.misc.LocatedReader;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+
+/**
+ * Reads the settings of the streaming proxy from JSON with comments and reports every
+ * problem in one go. Unknown keys are accepted, since a newer deployment may write more
+ * than this release reads.
+ */
+public final class ProxySettingsParser {
+
+	private static final int MAX_SETTINGS_BYTES = 65_536;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	/** Longest duration accepted, in seconds. */
+	private static final double MAX_SECONDS = 3_600;
+
+	private static final double MAX_RETRIES = 1_000_000;
+
+	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
+
+	private ProxySettingsParser() {
+	}
+
+	/**
+	 * Reads settings from a file.
+	 * @param file the file
+	 * @return the settings, or every problem found
+	 */
+	public static Either<List<Problem>, ProxySettings> read(Path file) {
+		try {
+			return parse(Files.readAllBytes(file));
+		}
+		catch (IOException ex) {
+			return Either
+				.left(List.of(Problem.of(ErrorType.UNREADABLE, Position.UNKNOWN, file, ex.getClass().getSimpleName())));
+		}
+	}
+
+	/**
+	 * Reads settings.
+	 * @param content the settings, JSON with comments in UTF-8
+	 * @return the settings, or every problem found
+	 */
+	public static Either<List<Problem>, ProxySettings> parse(byte[] content) {
+		CollectingProblemListener listener = new CollectingProblemListener();
+		Optional<ProxySettings> settings = new LocatedReader(MAX_SETTINGS_BYTES, listener).read(content)
+			.flatMap((root) -> Fields.of("the settings", root, listener))
+			.map(ProxySettingsParser::settings);
+		if (settings.isEmpty() || listener.hasErrors()) {
+			return Either.left(listener.problems());
+		}
+		return Either.right(settings.get());
+	}
+
+	private static ProxySettings settings(Fields fields) {
+		return new ProxySettings(fields.text("vm"), fields.text("failureDomain"), fields.text("service"),
+				address(fields, "entryAddress"), address(fields, "readinessAddress"), address(fields, "linkAddress"),
+				address(fields, "targetAddress"), address(fields, "sourceAddress"), millis(fields, "drainSeconds"),
+				millis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
+				fields.number("retryMinimum", 0, MAX_RETRIES), millis(fields, "retryWindowSeconds"));
+	}
+
+	private static long millis(Fields fields, String key) {
+		return Math.round(fields.number(key, 0, MAX_SECONDS) * MILLIS_PER_SECOND);
+	}
+
+	private static InetSocketAddress address(Fields fields, String key) {
+		String written = fields.text(key);
+		Optional<InetSocketAddress> address = Addresses.parse(written);
+		if (address.isEmpty() && !written.isEmpty()) {
+			fields.report(ErrorType.BAD_ADDRESS, fields.position(key), written);
+		}
+		return address.orElse(NO_ADDRESS);
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RemoteCall.java
@@ -0,0 +1,35 @@
+package org.eelgrasspitch.proxy;
+
+import java.nio.ByteBuffer;
+
+import org.eelgrasspitch.proxy.generated.LinkCancel;
+import org.eelgrasspitch.proxy.generated.LinkCredit;
+import org.eelgrasspitch.proxy.generated.LinkData;
+import org.eelgrasspitch.proxy.generated.LinkMessage;
+
+/**
+ * A call that this node has placed on another one, as its entry sees it.
+ *
+ * @param link the link that carries it
+ * @param stream its number on the link
+ * @param sink receives the answer
+ */
+record RemoteCall(Link link, long stream, CallSink sink) implements CallFlow {
+
+	@Override
+	public void data(byte[] content, boolean last) {
+		this.link.send(LinkMessage.data(new LinkData(this.stream, true, ByteBuffer.wrap(content), last)));
+	}
+
+	@Override
+	public void credit(int bytes) {
+		this.link.send(LinkMessage.credit(new LinkCredit(this.stream, false, bytes)));
+	}
+
+	@Override
+	public void cancel() {
+		this.link.forget(this.stream);
+		this.link.send(LinkMessage.cancel(new LinkCancel(this.stream)));
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -0,0 +1,334 @@
+package org.eelgrasspitch.proxy;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * A connection to the target of this VM. It carries one call at a time.
+ * <p>
+ * Nothing that the target sends is believed before it is checked: an answer must echo the
+ * identifier of the call. A complete answer to another one, sent late, is skipped, and
+ * the connection is closed afterwards. A success must be signed and unencoded. Bytes that
+ * are no answer, or that arrive while no call is in progress, close the connection.
+ */
+final class TargetConnection extends ChannelInboundHandlerAdapter {
+
+	private static final int MAX_LINE_BYTES = 16_384;
+
+	private static final int MAX_HEADER_BYTES = 65_536;
+
+	private static final int MAX_CHUNK_BYTES = 16_384;
+
+	/**
+	 * How long a target keeps an idle connection when it does not say, in milliseconds.
+	 */
+	private static final long DEFAULT_IDLE_MILLIS = 4_000;
+
+	/** A connection is given up this long before the target would close it. */
+	private static final long IDLE_MARGIN_MILLIS = 1_000;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final int INFORMATIONAL = 200;
+
+	private static final int SUCCESS_END = 300;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int MISDIRECTED = 421;
+
+	private final Home home;
+
+	private Channel channel;
+
+	/** The call in progress; null while idle. */
+	private HomeCall call;
+
+	private boolean bodyEnded;
+
+	/** Whether the answer to the call has begun. */
+	private boolean answering;
+
+	/** Whether the answer that arrives belongs to an earlier request. */
+	private boolean skipping;
+
+	/** The refusal that the present answer states; null when it states none. */
+	private FailureReason refusal;
+
+	/** Whether the target served the call. */
+	private boolean good;
+
+	private boolean reusable = true;
+
+	private long answerCredit;
+
+	private long idleSince;
+
+	private long idleLimit = DEFAULT_IDLE_MILLIS;
+
+	private TargetConnection(Home home) {
+		this.home = home;
+	}
+
+	static ChannelInitializer<Channel> initializer(Home home) {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(Channel created) {
+				created.pipeline()
+					.addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false))
+					.addLast(new TargetConnection(home));
+			}
+		};
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.channel = context.channel();
+		this.idleSince = this.home.now();
+	}
+
+	boolean isUsable(long now) {
+		return this.channel.isActive() && this.reusable && idleMillis(now) < this.idleLimit - IDLE_MARGIN_MILLIS;
+	}
+
+	long idleMillis(long now) {
+		return now - this.idleSince;
+	}
+
+	boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
+	/**
+	 * Gives the target a call.
+	 * @param sent the call
+	 */
+	void send(HomeCall sent) {
+		this.call = sent;
+		this.bodyEnded = false;
+		this.answering = false;
+		this.refusal = null;
+		this.answerCredit = CallSink.WINDOW_BYTES;
+		this.channel.write(request(sent.head()));
+		sent.sentOn(this);
+		this.channel.flush();
+	}
+
+	void writeBody(byte[] content) {
+		this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+	}
+
+	void endBody() {
+		if (!this.bodyEnded) {
+			this.bodyEnded = true;
+			this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+		}
+	}
+
+	void credit(int bytes) {
+		this.answerCredit += bytes;
+		this.channel.config().setAutoRead(this.answerCredit > 0);
+	}
+
+	/**
+	 * Returns a connection that was opened and not used.
+	 */
+	void release() {
+		this.idleSince = this.home.now();
+		this.home.idle(this);
+	}
+
+	void abort() {
+		this.call = null;
+		this.reusable = false;
+		this.channel.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (!(message instanceof HttpObject part) || part.decoderResult().isFailure() || this.call == null) {
+				broken(FailureReason.TARGET_GARBLED);
+				return;
+			}
+			if (part instanceof HttpResponse response) {
+				answer(response);
+			}
+			if (part instanceof HttpContent content && this.call != null) {
+				content(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.call != null) {
+			this.call.pump();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		broken((cause instanceof IOException) ? FailureReason.TARGET_BROKE_OFF : FailureReason.TARGET_GARBLED);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.reusable = false;
+		this.home.closed(this);
+		broken(FailureReason.TARGET_BROKE_OFF);
+	}
+
+	private HttpRequest request(CallHead head) {
+		HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()),
+				head.uri());
+		Headers.add(head.headers(), request.headers());
+		long left = Math.max(1, head.deadlineAt() - this.home.now());
+		request.headers().set(this.home.names().remainingMillis(), left);
+		request.headers().set(this.home.names().expectedTarget(), head.target());
+		if (head.bodyLength() == CallHead.CHUNKED) {
+			request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
+		if (head.bodyLength() >= 0) {
+			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, head.bodyLength());
+		}
+		return request;
+	}
+
+	private void answer(HttpResponse response) {
+		int status = response.status().code();
+		HeaderNames names = this.home.names();
+		String echoed = response.headers().get(names.requestId());
+		boolean foreign = echoed != null && !echoed.equals(this.call.head().requestId());
+		this.skipping = foreign || status < INFORMATIONAL;
+		if (this.skipping) {
+			// An answer to an earlier request may be followed by another one of its kind.
+			this.reusable &= !foreign;
+			return;
+		}
+		this.reusable &= HttpUtil.isKeepAlive(response);
+		noteIdleLimit(response.headers().get("Keep-Alive"));
+		boolean signed = response.headers().contains(names.signature());
+		boolean notRun = response.headers().contains(names.notRun());
+		if (notRun || (status == MISDIRECTED && !signed)) {
+			this.refusal = (status == MISDIRECTED) ? FailureReason.WRONG_TARGET : FailureReason.TARGET_REFUSED;
+			return;
+		}
+		boolean success = status < SUCCESS_END;
+		if (!signed || echoed == null || (success && response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+			broken(FailureReason.TARGET_GARBLED);
+			return;
+		}
+		this.answering = true;
+		this.good = status < SERVER_ERROR;
+		List<String> headers = Headers.travelling(response.headers(), Set.of());
+		this.call
+			.replied(new ReplyHead(status, headers, Headers.bodyLength(response, CallHead.CHUNKED), this.home.load()));
+	}
+
+	private void content(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.skipping) {
+			return;
+		}
+		if (this.refusal != null) {
+			if (last) {
+				refused();
+			}
+			return;
+		}
+		byte[] bytes = ByteBufUtil.getBytes(content.content());
+		this.answerCredit -= bytes.length;
+		if (this.answerCredit <= 0 && !last) {
+			this.channel.config().setAutoRead(false);
+		}
+		HomeCall current = this.call;
+		if (last) {
+			complete(current);
+		}
+		current.answerData(bytes, last);
+		if (last) {
+			this.home.finished(current, this.good);
+		}
+	}
+
+	private void refused() {
+		HomeCall current = this.call;
+		FailureReason reason = this.refusal;
+		complete(current);
+		this.home.fail(current, reason, true, false);
+		this.home.finished(current, reason == FailureReason.WRONG_TARGET);
+	}
+
+	private void complete(HomeCall current) {
+		this.call = null;
+		// After an early answer the rest of the request's body is still due here.
+		boolean whole = this.bodyEnded && current.isBodyComplete();
+		if (!this.reusable || !whole || !this.channel.isActive()) {
+			abort();
+			return;
+		}
+		this.channel.config().setAutoRead(true);
+		release();
+	}
+
+	private void noteIdleLimit(String keepAlive) {
+		if (keepAlive == null) {
+			return;
+		}
+		for (String part : keepAlive.split(",")) {
+			String trimmed = part.trim();
+			if (trimmed.startsWith("timeout=")) {
+				this.idleLimit = seconds(trimmed.substring("timeout=".length())) * MILLIS_PER_SECOND;
+			}
+		}
+	}
+
+	private static long seconds(String text) {
+		try {
+			return Long.parseLong(text);
+		}
+		catch (NumberFormatException ex) {
+			// A hint that cannot be read counts as absent.
+			return DEFAULT_IDLE_MILLIS / MILLIS_PER_SECOND;
+		}
+	}
+
+	private void broken(FailureReason reason) {
+		HomeCall current = this.call;
+		this.call = null;
+		this.reusable = false;
+		this.channel.close();
+		if (current == null || current.isEnded()) {
+			return;
+		}
+		this.home.fail(current, reason, true, true);
+		this.home.finished(current, false);
+	}
+
+}
