--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/mesh/PlacementTests.java
@@ -0,0 +1,81 @@
+package org.eelgrasspitch.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Choice of a target by what its home says.
+ */
+public class PlacementTests {
+
+	private final Placement placement = new Placement(new SplittableRandom(7));
+
+	@Test
+	public void aNearTargetThatIsQuickEnoughIsPreferred() {
+		Assert.assertEquals(choose(near(load(2, 0, 0, 200, 0)), far(load(0, 0, 0, 100, 0))), "near");
+	}
+
+	@Test
+	public void aNearTargetThatWouldBeLateIsNot() {
+		Assert.assertEquals(choose(near(load(9, 12, 500, 200, 0)), far(load(2, 0, 0, 200, 0))), "far");
+	}
+
+	@Test
+	public void aSlowTargetIsNot() {
+		Assert.assertEquals(choose(near(load(2, 0, 0, 900, 0)), far(load(4, 0, 0, 150, 0))), "far");
+	}
+
+	@Test
+	public void aTargetThatFailsPartOfItsRequestsIsNot() {
+		Assert.assertEquals(choose(near(load(1, 0, 0, 100, 45)), far(load(3, 0, 0, 100, 0))), "far");
+	}
+
+	@Test
+	public void theLastTargetIsNeverPassedOver() {
+		Assert.assertEquals(choose(near(load(9, 30, 2_000, 900, 90))), "near");
+	}
+
+	@Test
+	public void targetsThatAreDownOrLeavingAreNotChosen() {
+		HomeLoad down = new HomeLoad(HomeLoad.State.DOWN, 0, 0, 9, 0, 100, 0);
+		HomeLoad leaving = new HomeLoad(HomeLoad.State.LEAVING, 0, 0, 9, 0, 100, 0);
+		Assert.assertEquals(choose(near(down), far(leaving)), "none");
+	}
+
+	@Test
+	public void requestsBetweenTwoReportsSpread() {
+		int[] sent = new int[6];
+		for (int i = 0; i < 60; i++) {
+			List<Candidate> candidates = new ArrayList<>();
+			for (int j = 0; j < sent.length; j++) {
+				candidates.add(new Candidate("t" + j, true, load(0, 0, 0, 100, 0), sent[j], 0));
+			}
+			String chosen = this.placement.choose(candidates, 600).orElseThrow().id();
+			sent[Integer.parseInt(chosen.substring(1))]++;
+		}
+		for (int count : sent) {
+			Assert.assertTrue(count >= 8 && count <= 12, "sent to one of six: " + count);
+		}
+	}
+
+	private String choose(Candidate... candidates) {
+		return this.placement.choose(List.of(candidates), 600).map(Candidate::id).orElse("none");
+	}
+
+	private static Candidate near(HomeLoad load) {
+		return new Candidate("near", true, load, 0, 0);
+	}
+
+	private static Candidate far(HomeLoad load) {
+		return new Candidate("far", false, load, 0, 0);
+	}
+
+	private static HomeLoad load(int running, int waiting, int waitMillis, int serviceMillis, int failurePercent) {
+		return new HomeLoad(HomeLoad.State.UP, running, waiting, 9, waitMillis, serviceMillis, failurePercent);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/eelgrasspitch/mesh/SourceDocumentTests.java
@@ -0,0 +1,82 @@
+package org.eelgrasspitch.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Published documents: whatever the order and the way in which changes arrive, a node
+ * holds what the source held at its revision, and never moves back.
+ */
+public class SourceDocumentTests {
+
+	private static final int ROUNDS = 400;
+
+	@Test
+	public void anOlderDifferenceChangesNothing() {
+		SourceDocument document = new SourceDocument();
+		document.apply(new SourceDelta(0, 52, List.of(item("a", 50)), List.of()));
+		Assert.assertNull(document.apply(new SourceDelta(40, 45, List.of(item("b", 45)), List.of("a"))));
+		Assert.assertEquals(document.items().size(), 1);
+		Assert.assertEquals(document.revision(), 52);
+	}
+
+	@Test
+	public void aGapIsNotSkipped() {
+		SourceDocument document = new SourceDocument();
+		document.apply(new SourceDelta(0, 10, List.of(), List.of()));
+		Assert.assertNull(document.apply(new SourceDelta(12, 20, List.of(item("a", 15)), List.of())));
+		Assert.assertEquals(document.revision(), 10);
+	}
+
+	@Test
+	public void aCompleteDocumentTellsWhatIsGone() {
+		SourceDocument document = new SourceDocument();
+		document.apply(new SourceDelta(0, 10, List.of(item("a", 5), item("b", 6)), List.of()));
+		Assert.assertEquals(document.apply(new SourceDelta(0, 20, List.of(item("b", 6)), List.of())), List.of("a"));
+	}
+
+	@Test
+	public void nodesThatExchangeDifferencesAgreeWithTheSource() {
+		for (int seed = 0; seed < ROUNDS; seed++) {
+			SplittableRandom random = new SplittableRandom(seed);
+			SourceDocument source = new SourceDocument();
+			source.apply(new SourceDelta(0, 1, List.of(), List.of()));
+			List<SourceDocument> nodes = List.of(new SourceDocument(), new SourceDocument(), new SourceDocument());
+			for (long revision = 2; revision < 60; revision++) {
+				change(source, revision, random);
+				SourceDocument reader = nodes.get(random.nextInt(nodes.size()));
+				SourceDocument giver = (random.nextInt(3) == 0) ? source : nodes.get(random.nextInt(nodes.size()));
+				long before = reader.revision();
+				reader.apply(giver.since(reader.revision()));
+				Assert.assertTrue(reader.revision() >= before, "seed " + seed);
+			}
+			for (SourceDocument node : nodes) {
+				node.apply(source.since(node.revision()));
+				Assert.assertEquals(content(node), content(source), "seed " + seed);
+			}
+		}
+	}
+
+	private static void change(SourceDocument source, long revision, SplittableRandom random) {
+		String key = "k" + random.nextInt(6);
+		boolean removes = random.nextInt(3) == 0;
+		source.apply(new SourceDelta(revision - 1, revision, removes ? List.of() : List.of(item(key, revision)),
+				removes ? List.of(key) : List.of()));
+	}
+
+	private static TreeMap<String, Long> content(SourceDocument document) {
+		TreeMap<String, Long> content = new TreeMap<>();
+		document.items().forEach((item) -> content.put(item.key(), item.revision()));
+		return content;
+	}
+
+	private static SourceItem item(String key, long revision) {
+		return new SourceItem(key, key.getBytes(StandardCharsets.UTF_8), revision);
+	}
+
+}
