--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallFlow.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallFlow.java
@@ -12,6 +12,11 @@
 	 */
 	void data(byte[] content, boolean last);
 
+	/**
+	 * Permits the start that the home has asked for.
+	 */
+	void start();
+
 	/**
 	 * Permits more of the answer's body.
 	 * @param bytes number of bytes
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallSink.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallSink.java
@@ -11,6 +11,12 @@
 	 */
 	int WINDOW_BYTES = 65_536;
 
+	/**
+	 * The home could start the call now and asks for permission. Only calls that must not
+	 * run twice ask, so that their entry knows until then that they have not run.
+	 */
+	void startAsked();
+
 	/**
 	 * The target has begun to answer.
 	 * @param head the answer without its body
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -346,7 +346,7 @@
 		if (this.ended || (this.attempt != null && this.attempt.reply != null)) {
 			return;
 		}
-		boolean unsentYet = this.attempt == null && !this.mayHaveRun;
+		boolean unsentYet = !this.mayHaveRun && (this.attempt == null || this.attempt.hasSurelyNotRun());
 		cancelAttempt();
 		if (unsentYet) {
 			unavailable("timeout");
@@ -482,6 +482,12 @@
 
 		private int nextPart;
 
+		/** Whether the home may start the request. */
+		private boolean permitted;
+
+		/** Whether the home asked before it was known where the rest of the call goes. */
+		private boolean askedEarly;
+
 		private boolean lastSent;
 
 		Attempt(TargetEntry target, long sentAt) {
@@ -499,6 +505,9 @@
 			}
 			this.flow = opened;
 			pump();
+			if (this.askedEarly && isCurrent()) {
+				startAsked();
+			}
 		}
 
 		void pump() {
@@ -525,6 +534,25 @@
 			this.flow.data(part, this.lastSent);
 		}
 
+		/**
+		 * Tells whether this attempt cannot have run: the home asks before it starts a
+		 * request that must not run twice.
+		 * @return true when permission to start was not given
+		 */
+		boolean hasSurelyNotRun() {
+			return !Exchange.this.route.idempotent() && !this.permitted;
+		}
+
+		@Override
+		public void startAsked() {
+			if (isCurrent() && this.flow != null) {
+				this.permitted = true;
+				this.flow.start();
+				return;
+			}
+			this.askedEarly = isCurrent();
+		}
+
 		@Override
 		public void replied(ReplyHead head) {
 			if (!isCurrent()) {
@@ -626,9 +654,12 @@
 
 		@Override
 		public void failed(CallFailure failure) {
-			if (isCurrent()) {
-				attemptFailed(this, failure);
+			if (!isCurrent()) {
+				return;
 			}
+			boolean lost = failure.reason() == FailureReason.LINK_LOST;
+			attemptFailed(this, (lost && hasSurelyNotRun())
+					? CallFailure.notSent(FailureReason.LINK_LOST, 0, HomeLoad.UNKNOWN) : failure);
 		}
 
 		private boolean isCurrent() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -155,6 +155,11 @@
 			call.end();
 			return;
 		}
+		if (call.isClaimed()) {
+			call.end();
+			released();
+			return;
+		}
 		if (call.head().idempotent() && call.connection() != null) {
 			TargetConnection connection = call.connection();
 			call.end();
@@ -239,7 +244,16 @@
 	}
 
 	private void start(HomeCall call) {
-		call.started(now());
+		if (call.claim(now())) {
+			permitted(call);
+		}
+	}
+
+	/**
+	 * Gives a call that has a slot to the target.
+	 * @param call the call
+	 */
+	void permitted(HomeCall call) {
 		TargetConnection connection = takeIdle(call.head().idempotent());
 		if (connection != null) {
 			connection.send(call);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -59,9 +59,33 @@
 		return this.startedAt;
 	}
 
-	void started(long now) {
-		this.state = State.RUNNING;
+	/**
+	 * Takes a slot.
+	 * @param now current monotonic time in milliseconds
+	 * @return true when it may be given to the target at once; false when its entry was
+	 * asked for permission
+	 */
+	boolean claim(long now) {
 		this.startedAt = now;
+		if (this.head.idempotent()) {
+			this.state = State.RUNNING;
+			return true;
+		}
+		this.state = State.CLAIMED;
+		this.sink.startAsked();
+		return false;
+	}
+
+	boolean isClaimed() {
+		return this.state == State.CLAIMED;
+	}
+
+	@Override
+	public void start() {
+		if (this.state == State.CLAIMED) {
+			this.state = State.RUNNING;
+			this.home.permitted(this);
+		}
 	}
 
 	void sentOn(TargetConnection used) {
@@ -156,7 +180,10 @@
 		/** In the home's queue. */
 		WAITING,
 
-		/** A slot of the target is taken. */
+		/** A slot is taken; the entry is asked whether it may start. */
+		CLAIMED,
+
+		/** It is given to the target. */
 		RUNNING,
 
 		/** Answered, failed or given up. */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/IncomingCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/IncomingCall.java
@@ -5,6 +5,7 @@
 import org.eelgrasspitch.proxy.generated.LinkCredit;
 import org.eelgrasspitch.proxy.generated.LinkData;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
+import org.eelgrasspitch.proxy.generated.LinkStartAsked;
 
 /**
  * A call that another node has placed on this one: passes the home's answer to the link.
@@ -37,6 +38,11 @@
 		return this.ended;
 	}
 
+	@Override
+	public void startAsked() {
+		this.link.send(LinkMessage.startAsked(new LinkStartAsked(this.stream)));
+	}
+
 	@Override
 	public void replied(ReplyHead head) {
 		this.link.send(LinkMessage.reply(LinkFrames.wire(this.stream, head)));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -179,6 +179,8 @@
 			case CALL -> called(message.getCall());
 			case DATA -> data(message.getData());
 			case CREDIT -> credited(message.getCredit());
+			case START_ASKED -> startAsked(message.getStartAsked().getStream());
+			case START -> started(message.getStart().getStream());
 			case CANCEL -> cancelled(message.getCancel().getStream());
 			case REPLY -> replied(message.getReply().getStream(), LinkFrames.reply(message.getReply()));
 			case FAILURE -> failed(message.getFailure().getStream(), LinkFrames.failure(message.getFailure()));
@@ -244,6 +246,20 @@
 		}
 	}
 
+	private void startAsked(long stream) {
+		RemoteCall call = this.calls.get(stream);
+		if (call != null) {
+			call.sink().startAsked();
+		}
+	}
+
+	private void started(long stream) {
+		IncomingCall call = this.incoming.get(stream);
+		if (call != null) {
+			call.flow().start();
+		}
+	}
+
 	private void cancelled(long stream) {
 		IncomingCall call = this.incoming.remove(stream);
 		if (call != null) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -38,6 +38,9 @@
 	/** A link is lost after this silence: two heartbeats and a slow machine's delay. */
 	static final long SILENCE_MILLIS = 1_600;
 
+	/** A link that has been silent for longer than a heartbeat is passed over. */
+	static final long DOUBT_MILLIS = 800;
+
 	/** How often missing links are looked for. */
 	private static final long DIAL_MILLIS = 300;
 
@@ -104,10 +107,12 @@
 	/**
 	 * Finds the link to a target's home.
 	 * @param target the target
-	 * @return the link, or empty when none is open
+	 * @return the link, or empty when none is open or it is in doubt
 	 */
 	Optional<Link> to(TargetEntry target) {
-		return Optional.ofNullable(this.byPeer.get(target.address().getAddress())).filter(Link::isOpen);
+		return Optional.ofNullable(this.byPeer.get(target.address().getAddress()))
+			.filter(Link::isOpen)
+			.filter((link) -> this.fabric.now() - link.lastHeardAt() <= DOUBT_MILLIS);
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RemoteCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RemoteCall.java
@@ -6,6 +6,7 @@
 import org.eelgrasspitch.proxy.generated.LinkCredit;
 import org.eelgrasspitch.proxy.generated.LinkData;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
+import org.eelgrasspitch.proxy.generated.LinkStart;
 
 /**
  * A call that this node has placed on another one, as its entry sees it.
@@ -21,6 +22,11 @@
 		this.link.send(LinkMessage.data(new LinkData(this.stream, true, ByteBuffer.wrap(content), last)));
 	}
 
+	@Override
+	public void start() {
+		this.link.send(LinkMessage.start(new LinkStart(this.stream)));
+	}
+
 	@Override
 	public void credit(int bytes) {
 		this.link.send(LinkMessage.credit(new LinkCredit(this.stream, false, bytes)));
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -66,6 +66,16 @@
   1: required i64 stream
 }
 
+// The home has a slot for a call that must not run twice.
+struct LinkStartAsked {
+  1: required i64 stream
+}
+
+// The entry permits the start; from now on the call may have run.
+struct LinkStart {
+  1: required i64 stream
+}
+
 struct LinkReply {
   1: required i64 stream
   2: required i32 status
@@ -116,4 +126,6 @@
   8: LinkFailure failure
   9: LinkPull pull
   10: LinkDocument document
+  11: LinkStartAsked startAsked
+  12: LinkStart start
 }
--- /dev/null
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -0,0 +1,169 @@
+package org.eelgrasspitch.scenarios;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.platform.PlatformNode;
+import org.eelgrasspitch.proxy.ProxyNode;
+import org.eelgrasspitch.proxy.ProxySettings;
+import org.eelgrasspitch.testkit.mesh.Documents;
+import org.eelgrasspitch.testkit.mesh.RawCaller;
+import org.eelgrasspitch.testkit.mesh.ServerStandIn;
+import org.eelgrasspitch.testkit.mesh.StoreStandIn;
+
+/**
+ * A small deployment of the streaming proxy on loopback addresses: one store, and a
+ * server with its node on each VM. A VM is named after its service and failure domain, as
+ * in {@code desk-a}.
+ */
+final class PlatformWorld implements AutoCloseable {
+
+	private static final long DRAIN_MILLIS = 2_000;
+
+	private static final long STOP_MILLIS = 6_000;
+
+	private static final double RETRY_RATIO = 0.2;
+
+	private static final double RETRY_MINIMUM = 60;
+
+	private static final long RETRY_WINDOW_MILLIS = 10_000;
+
+	private static final String IDEMPOTENT = "idempotent";
+
+	/** Ports below those that the system gives to outgoing connections. */
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
+
+	private final Closer closer = new Closer();
+
+	private final StoreStandIn store;
+
+	private final int linkPort = freePort();
+
+	private final int serverPort = freePort();
+
+	private final int entryPort = freePort();
+
+	private final int readinessPort = freePort();
+
+	private final Map<String, ServerStandIn> servers = new LinkedHashMap<>();
+
+	private final Map<String, ProxyNode> nodes = new LinkedHashMap<>();
+
+	private final Map<String, String> addresses = new LinkedHashMap<>();
+
+	private long version = 10;
+
+	private int sequence;
+
+	PlatformWorld() throws IOException {
+		this.store = this.closer.register(new StoreStandIn(new InetSocketAddress("127.0.0.1", 0)));
+	}
+
+	StoreStandIn store() {
+		return this.store;
+	}
+
+	ServerStandIn server(String vm) {
+		return this.servers.get(vm);
+	}
+
+	List<ServerStandIn> servers() {
+		return new ArrayList<>(this.servers.values());
+	}
+
+	ProxyNode node(String vm) {
+		return this.nodes.get(vm);
+	}
+
+	void add(String vm) throws IOException {
+		this.addresses.put(vm, "127.0.7." + (this.addresses.size() + 1));
+		startServer(vm);
+		startNode(vm);
+		announce(vm, "ready");
+	}
+
+	void startServer(String vm) throws IOException {
+		this.servers.put(vm, this.closer.register(new ServerStandIn("i-" + vm, address(vm, this.serverPort))));
+	}
+
+	void startNode(String vm) {
+		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
+				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.serverPort),
+				this.store.address(), DRAIN_MILLIS, STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM, RETRY_WINDOW_MILLIS);
+		this.nodes.put(vm, this.closer.register(PlatformNode.start(settings)));
+	}
+
+	void announce(String vm, String state) {
+		this.store.put("servers/i-" + vm,
+				Documents.entry(service(vm), address(vm, this.serverPort), zone(vm), state, ++this.sequence));
+	}
+
+	void withdraw(String vm) {
+		this.store.remove("servers/i-" + vm);
+	}
+
+	/**
+	 * Publishes a configuration: lookups to the desk, payments to pay, a split of both,
+	 * and one more route.
+	 * @param extra path prefix of the further route; empty for none
+	 * @param service where the further route leads
+	 */
+	void publish(String extra, String service) {
+		StringBuilder rules = new StringBuilder();
+		rules.append(Documents.rule("/desk/", IDEMPOTENT, 2, "\"service\":\"desk\"")).append(',');
+		rules.append(Documents.rule("/pay/", "non_idempotent", 1, "\"service\":\"pay\"")).append(',');
+		rules.append(Documents.rule("/split/", IDEMPOTENT, 2,
+				"\"traffic_split\":[{\"service\":\"desk\",\"weight\":75},{\"service\":\"pay\",\"weight\":25}]"));
+		if (!extra.isEmpty()) {
+			rules.append(',').append(Documents.rule(extra, IDEMPOTENT, 2, "\"service\":\"" + service + "\""));
+		}
+		this.store.put("op/config", Documents.config(this.version++, rules.toString(), "desk", "pay"));
+	}
+
+	RawCaller caller(String vm) throws IOException {
+		return this.closer.register(new RawCaller(address(vm, this.entryPort)));
+	}
+
+	/**
+	 * Asks a node whether it is ready.
+	 * @param vm the node's VM
+	 * @return the status; 0 without an answer
+	 */
+	int readiness(String vm) {
+		try (RawCaller probe = new RawCaller(address(vm, this.readinessPort))) {
+			probe.send("GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+			return probe.read().status();
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+	private InetSocketAddress address(String vm, int port) {
+		return new InetSocketAddress(this.addresses.get(vm), port);
+	}
+
+	private static String service(String vm) {
+		return vm.substring(0, vm.indexOf('-'));
+	}
+
+	private static String zone(String vm) {
+		return vm.substring(vm.indexOf('-') + 1);
+	}
+
+	private static int freePort() {
+		return NEXT_PORT.getAndIncrement();
+	}
+
+}
--- /dev/null
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -0,0 +1,160 @@
+Feature: The streaming proxy on the users' platform
+  Requests pass from a requester to the entry beside it, to the home of the chosen server, and to the server.
+
+  Background:
+    Given servers with their nodes at desk-a desk-b pay-a
+
+  Scenario Outline: An answer of a server is passed on only if it is the whole answer to this request
+    When a requester at <at> sends <method> <path>
+    Then it gets status <status> with "<body>"
+
+    Examples:
+      | at     | method | path             | status | body             |
+      | desk-a | GET    | /desk/ok         | 200    | from i-desk-a    |
+      | pay-a  | GET    | /desk/ok         | 200    | from i-desk-a    |
+      | desk-b | POST   | /pay/ok          | 200    | from i-pay-a     |
+      | desk-a | GET    | /desk/unframed   | 200    | from i-desk-a    |
+      | desk-a | GET    | /desk/chunked    | 200    | from t           |
+      | desk-a | GET    | /desk/foreign    | 200    | from i-desk-a    |
+      | desk-a | GET    | /desk/extra      | 200    | from i-desk-a    |
+      | desk-b | POST   | /pay/foreign     | 200    | from i-pay-a     |
+      | desk-b | POST   | /pay/unframed    | 200    | from i-pay-a     |
+      | desk-a | GET    | /desk/fail       | 500    | from i-desk-b    |
+      | desk-b | POST   | /pay/fail        | 500    | from i-pay-a     |
+      | desk-b | POST   | /pay/truncated   | 502    |                  |
+      | desk-b | POST   | /pay/garbage     | 502    |                  |
+      | desk-b | POST   | /pay/unsigned    | 502    |                  |
+      | desk-b | POST   | /pay/encoded     | 502    |                  |
+      | desk-b | POST   | /pay/lost        | 502    |                  |
+      | desk-a | GET    | /desk/unframed-reset | 502 |                 |
+      | desk-a | GET    | /none/ok         | 404    |                  |
+
+  Scenario Outline: What may have run is sent again only if it is idempotent
+    When a requester at desk-a sends <method> <path>
+    Then it gets status <status>
+    And <servers> server received it, <times> times in all
+
+    Examples:
+      | method | path            | status | servers | times |
+      | GET    | /desk/lost      | 502    | 2       | 2     |
+      | GET    | /desk/truncated | 502    | 2       | 2     |
+      | GET    | /desk/refuse    | 503    | 2       | 2     |
+      | POST   | /pay/lost       | 502    | 1       | 1     |
+      | POST   | /pay/truncated  | 502    | 1       | 1     |
+      | POST   | /pay/refuse     | 503    | 1       | 1     |
+
+  Scenario: A refusal says when to come back
+    When a requester at desk-a sends POST /pay/refuse
+    Then it gets status 503
+    And the answer says when to come back
+    And the answer came within 500 ms
+
+  Scenario: An extra answer is not given to the next request
+    When a requester at desk-a sends GET /desk/extra
+    And a requester at desk-a sends GET /desk/ok
+    Then it gets status 200 with "from i-desk-a"
+
+  Scenario: The body of a request and the answer stream through
+    When a requester at desk-b sends POST /pay/ok in pieces of 5000 bytes, 400000 in all
+    Then it gets status 200 with "from i-pay-a"
+    And the server at pay-a got the body of 400000 bytes and the caller service desk
+    When a requester at pay-a sends GET /desk/long
+    Then it gets status 200 with 300000 bytes
+
+  Scenario: Requests behind one another are worked on together and answered in order
+    When a requester at desk-a sends one behind another: /desk/wait400 /desk/wait10 /desk/wait400 /desk/ok
+    Then it gets 4 answers, the last one from desk-a, within 1100 ms
+
+  Scenario: A requester that leaves ends its lookup at the server
+    When a requester at pay-a sends GET /desk/wait1500 and leaves after 200 ms
+    Then within 3 s nothing runs at desk-a
+
+  Scenario: The server never gets more than its slots
+    When 12 requesters at desk-a send GET /desk/wait150 together
+    Then never more than 2 ran at desk-a at a time
+    And never more than 2 ran at desk-b at a time
+
+  Scenario Outline: Bytes that no correct requester sends
+    When a requester at desk-a sends the bytes "<bytes>"
+    Then it gets status <status>
+
+    Examples:
+      | bytes                                                                                                       | status |
+      | GET /desk/ok HTTP/1.1\|Host: m.example\|\|                                                                  | 400    |
+      | nonsense\|\|                                                                                                | 400    |
+      | POST /pay/ok HTTP/1.1\|Host: m.example\|X-Request-Id: a\|Content-Length: 3\|Transfer-Encoding: chunked\|\|0\|\| | 400 |
+      | GET /desk/ok HTTP/1.1\|Host: m.example\|X-Req                                                               | 408    |
+
+  Scenario: A change applies everywhere, and a damaged one nowhere
+    When the operators add the route /new/ to desk
+    Then within 2 s a requester at pay-a gets status 200 for GET /new/ok
+    And within 2 s a requester at desk-b gets status 200 for GET /new/ok
+    When the operators write "{\"version\":\"r99\",\"listeners\":["
+    Then for 1 s a requester at pay-a gets status 200 for GET /new/ok
+    When the operators remove the further route
+    Then within 2 s a requester at pay-a gets status 404 for GET /new/ok
+
+  Scenario: Entries that nobody can use harm no other
+    When somebody writes "not json" as the entry i-foreign
+    And somebody writes "{\"service\":\"desk\",\"address\":17}" as the entry i-other
+    And somebody writes "{\"service\":\"desk\",\"address\":\"127.0.7.9:1\",\"zone\":\"a\",\"version\":\"v\",\"slots\":2,\"state\":\"asleep\",\"cold_remaining_s\":0,\"sequence\":1}" as the entry i-third
+    Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+
+  Scenario: A server that is leaving gets nothing new
+    When desk-a announces draining
+    Then after 1000 ms no request from pay-a for /desk/ok reaches desk-a
+    And for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+
+  Scenario Outline: While the store is away everything goes on, and what lapsed meanwhile comes back
+    When the store <fails>
+    Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+    When the entries of desk-a desk-b pay-a lapse
+    And 500 ms pass
+    And the store returns
+    And 1200 ms pass
+    Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+    When desk-a announces ready
+    And desk-b announces ready
+    And 1500 ms pass
+    Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+
+    Examples:
+      | fails   |
+      | refuses |
+      | resets  |
+
+  Scenario: The store forgets its history
+    When the store forgets
+    And the operators add the route /new/ to desk
+    Then within 3 s a requester at pay-a gets status 200 for GET /new/ok
+
+  Scenario: A crashed server is passed over and used again
+    When the server at desk-a crashes
+    Then for 2 s a requester at pay-a gets status 200 for GET /desk/ok
+    When the server at desk-a comes back
+    And 1500 ms pass
+    And a requester at pay-a sends GET /desk/ok
+    Then it gets status 200 with "from i-desk-a"
+
+  Scenario: A node that dies takes no other with it, and serves again after a start without the store
+    When the node at desk-a dies
+    Then for 2 s a requester at pay-a gets status 200 for GET /desk/ok
+    When the store refuses
+    And the node at desk-a is started again
+    Then desk-a is ready within 3 s
+    And within 1 s a requester at desk-a gets status 200 for GET /desk/ok
+
+  Scenario: A planned stop cuts off nothing
+    When a requester at desk-a sends GET /desk/wait1500 and does not wait
+    And 100 ms pass
+    And the node at desk-a is told to stop
+    Then desk-a is not ready within 1 s
+    And for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+    And its answer arrives with status 200
+
+  Scenario: Requests are distributed by weight
+    Then of 60 requests at desk-a for /split/ok the share that reaches pay servers is 25 % give or take 5
+
+  Scenario: An idle fleet asks the store little
+    When 3000 ms pass
+    Then the store was called at most 20 times
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
@@ -0,0 +1,117 @@
+package org.eelgrasspitch.testkit.mesh;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A requester that sees every byte of its connection.
+ */
+public final class RawCaller implements AutoCloseable {
+
+	private static final int READ_MILLIS = 8_000;
+
+	private final Socket socket;
+
+	private final InputStream input;
+
+	/**
+	 * Connects.
+	 * @param entry the entry's address
+	 * @throws IOException if the connection cannot be opened
+	 */
+	public RawCaller(InetSocketAddress entry) throws IOException {
+		this.socket = new Socket(entry.getAddress(), entry.getPort());
+		this.socket.setSoTimeout(READ_MILLIS);
+		this.input = new BufferedInputStream(this.socket.getInputStream());
+	}
+
+	/**
+	 * Sends text as it is.
+	 * @param text the text
+	 * @throws IOException if the connection is closed
+	 */
+	public void send(String text) throws IOException {
+		this.socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+		this.socket.getOutputStream().flush();
+	}
+
+	/**
+	 * Sends a request.
+	 * @param method the method
+	 * @param host the host
+	 * @param path the path
+	 * @param id the request's identifier
+	 * @param timeoutMillis how long this requester says it waits
+	 * @param body the body; empty for none
+	 * @throws IOException if the connection is closed
+	 */
+	public void request(String method, String host, String path, String id, long timeoutMillis, String body)
+			throws IOException {
+		String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+		send(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
+				+ "\r\nX-Request-Timeout-Ms: " + timeoutMillis + "\r\n" + length + "\r\n" + body);
+	}
+
+	/**
+	 * Reads one answer.
+	 * @return the answer; its status is 0 when the connection was closed before one
+	 * @throws IOException if nothing arrives in time
+	 */
+	public Answer read() throws IOException {
+		String line = ServerStandIn.line(this.input);
+		if (line == null || line.isEmpty()) {
+			return new Answer(0, Map.of(), "", false);
+		}
+		int status = Integer.parseInt(line.split(" ")[1]);
+		Map<String, String> headers = new TreeMap<>();
+		for (String field = ServerStandIn.line(this.input); field != null
+				&& !field.isEmpty(); field = ServerStandIn.line(this.input)) {
+			int colon = field.indexOf(':');
+			headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
+		}
+		return body(status, headers);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+	}
+
+	private Answer body(int status, Map<String, String> headers) throws IOException {
+		if (headers.containsKey("content-length")) {
+			int length = Integer.parseInt(headers.get("content-length"));
+			byte[] bytes = this.input.readNBytes(length);
+			return new Answer(status, headers, new String(bytes, StandardCharsets.US_ASCII), bytes.length == length);
+		}
+		StringBuilder body = new StringBuilder();
+		for (String line = ServerStandIn.line(this.input); line != null; line = ServerStandIn.line(this.input)) {
+			int size = Integer.parseInt(line, 16);
+			body.append(new String(this.input.readNBytes(size), StandardCharsets.US_ASCII));
+			ServerStandIn.line(this.input);
+			if (size == 0) {
+				return new Answer(status, headers, body.toString(), true);
+			}
+		}
+		return new Answer(status, headers, body.toString(), false);
+	}
+
+	/**
+	 * An answer as it arrived.
+	 *
+	 * @param status its status; 0 for none
+	 * @param headers its fields by name in lower case
+	 * @param body its body as far as it arrived
+	 * @param whole whether it arrived completely
+	 */
+	public record Answer(int status, Map<String, String> headers, String body, boolean whole) {
+
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -0,0 +1,287 @@
+package org.eelgrasspitch.testkit.mesh;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Stands in for a server of the platform. The last part of a request's path says how it
+ * behaves; {@link #received} tells what it got.
+ */
+public final class ServerStandIn implements AutoCloseable {
+
+	private static final int BACKLOG = 256;
+
+	private static final int LONG_BODY = 300_000;
+
+	private final ServerSocket socket;
+
+	private final String id;
+
+	/** Every request that arrived, in order. */
+	private final List<Received> received = new ArrayList<>();
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final AtomicInteger mostRunning = new AtomicInteger();
+
+	private final List<Socket> open = new ArrayList<>();
+
+	/**
+	 * Starts a server.
+	 * @param id its identifier
+	 * @param address where it listens
+	 * @throws IOException if the address cannot be bound
+	 */
+	public ServerStandIn(String id, InetSocketAddress address) throws IOException {
+		this.id = id;
+		this.socket = new ServerSocket();
+		this.socket.setReuseAddress(true);
+		this.socket.bind(address, BACKLOG);
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	/**
+	 * Returns the requests that arrived so far.
+	 * @return the requests in the order of their arrival
+	 */
+	public synchronized List<Received> received() {
+		return List.copyOf(this.received);
+	}
+
+	/**
+	 * Returns the connections that were opened so far.
+	 * @return the number
+	 */
+	public int connections() {
+		return this.connections.get();
+	}
+
+	/**
+	 * Returns how many requests ran at the same time at most.
+	 * @return the number
+	 */
+	public int mostRunning() {
+		return this.mostRunning.get();
+	}
+
+	/**
+	 * Returns how many requests run now.
+	 * @return the number
+	 */
+	public int running() {
+		return this.running.get();
+	}
+
+	@Override
+	public synchronized void close() throws IOException {
+		this.socket.close();
+		for (Socket each : this.open) {
+			each.close();
+		}
+	}
+
+	private void accept() {
+		while (!this.socket.isClosed()) {
+			try {
+				Socket accepted = this.socket.accept();
+				this.connections.incrementAndGet();
+				synchronized (this) {
+					this.open.add(accepted);
+				}
+				Thread.ofVirtual().start(() -> converse(accepted));
+			}
+			catch (IOException ex) {
+				// Closed by the test.
+				return;
+			}
+		}
+	}
+
+	private void converse(Socket accepted) {
+		try (accepted) {
+			InputStream input = new BufferedInputStream(accepted.getInputStream());
+			boolean goesOn = true;
+			while (goesOn) {
+				Received request = read(input);
+				if (request == null) {
+					return;
+				}
+				synchronized (this) {
+					this.received.add(request);
+				}
+				goesOn = answer(request, accepted);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The proxy closed the connection, as it may.
+			return;
+		}
+	}
+
+	private boolean answer(Received request, Socket accepted) throws IOException, InterruptedException {
+		OutputStream output = accepted.getOutputStream();
+		String expected = request.header("x-expected-instance");
+		if (expected != null && !expected.equals(this.id)) {
+			write(output, "421 Misdirected Request", "X-Instance-Id: " + this.id + "\r\n", "");
+			return true;
+		}
+		String behaviour = request.path().substring(request.path().lastIndexOf('/') + 1);
+		if (behaviour.startsWith("refuse")) {
+			write(output, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+			return true;
+		}
+		this.mostRunning.accumulateAndGet(this.running.incrementAndGet(), Math::max);
+		try {
+			return run(request, accepted, output, behaviour);
+		}
+		finally {
+			this.running.decrementAndGet();
+		}
+	}
+
+	private boolean run(Received request, Socket accepted, OutputStream output, String behaviour)
+			throws IOException, InterruptedException {
+		String own = headers(request.header("x-request-id"));
+		String body = "from " + this.id;
+		switch (behaviour) {
+			case "fail" -> write(output, "500 Internal Server Error", own, body);
+			case "unsigned" ->
+				write(output, "200 OK", "X-Request-Id: " + request.header("x-request-id") + "\r\n", body);
+			case "encoded" -> write(output, "200 OK", own + "Content-Encoding: gzip\r\n", body);
+			case "foreign" -> {
+				write(output, "200 OK", headers("another"), "not yours");
+				write(output, "200 OK", own, body);
+			}
+			case "extra" -> {
+				write(output, "200 OK", own, body);
+				write(output, "200 OK", own, body);
+			}
+			case "garbage" -> raw(output, "this is no answer\r\n\r\n");
+			case "truncated" -> {
+				raw(output, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 100\r\n\r\nfrom");
+				return false;
+			}
+			case "unframed" -> {
+				raw(output, "HTTP/1.1 200 OK\r\n" + own + "\r\n" + body);
+				return false;
+			}
+			case "unframed-reset" -> {
+				raw(output, "HTTP/1.1 200 OK\r\n" + own + "\r\n" + body);
+				TimeUnit.MILLISECONDS.sleep(50);
+				accepted.setSoLinger(true, 0);
+				return false;
+			}
+			case "lost" -> {
+				return false;
+			}
+			case "long" -> write(output, "200 OK", own, "x".repeat(LONG_BODY));
+			case "chunked" -> raw(output, "HTTP/1.1 200 OK\r\n" + own
+					+ "Transfer-Encoding: chunked\r\n\r\n4\r\nfrom\r\n2\r\n t\r\n0\r\n\r\n");
+			default -> {
+				if (behaviour.startsWith("wait")) {
+					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("wait".length())));
+				}
+				write(output, "200 OK", own, body);
+			}
+		}
+		return true;
+	}
+
+	private static String headers(String requestId) {
+		return "X-Request-Id: " + requestId + "\r\nX-Response-Signature: signed\r\n";
+	}
+
+	private static void write(OutputStream output, String status, String headers, String body) throws IOException {
+		raw(output, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+	}
+
+	private static void raw(OutputStream output, String text) throws IOException {
+		output.write(text.getBytes(StandardCharsets.US_ASCII));
+		output.flush();
+	}
+
+	private static Received read(InputStream input) throws IOException {
+		String line = line(input);
+		if (line == null) {
+			return null;
+		}
+		String[] words = line.split(" ");
+		Map<String, String> headers = new TreeMap<>();
+		for (String field = line(input); field != null && !field.isEmpty(); field = line(input)) {
+			int colon = field.indexOf(':');
+			headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
+		}
+		return new Received(words[0], words[1], headers, body(input, headers));
+	}
+
+	private static String body(InputStream input, Map<String, String> headers) throws IOException {
+		if (headers.containsKey("content-length")) {
+			int length = Integer.parseInt(headers.get("content-length"));
+			return new String(input.readNBytes(length), StandardCharsets.US_ASCII);
+		}
+		if (!headers.containsKey("transfer-encoding")) {
+			return "";
+		}
+		StringBuilder body = new StringBuilder();
+		int size = Integer.parseInt(line(input), 16);
+		while (size > 0) {
+			body.append(new String(input.readNBytes(size), StandardCharsets.US_ASCII));
+			line(input);
+			size = Integer.parseInt(line(input), 16);
+		}
+		line(input);
+		return body.toString();
+	}
+
+	static String line(InputStream input) throws IOException {
+		StringBuilder line = new StringBuilder();
+		int next = input.read();
+		if (next < 0) {
+			return null;
+		}
+		while (next >= 0 && next != '\n') {
+			if (next != '\r') {
+				line.append((char) next);
+			}
+			next = input.read();
+		}
+		return line.toString();
+	}
+
+	/**
+	 * A request that arrived.
+	 *
+	 * @param method its method
+	 * @param path its path and query
+	 * @param headers its fields by name in lower case
+	 * @param body its body
+	 */
+	public record Received(String method, String path, Map<String, String> headers, String body) {
+
+		/**
+		 * Returns a header field.
+		 * @param name its name in lower case
+		 * @return its value, or null
+		 */
+		public String header(String name) {
+			return this.headers.get(name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/StoreStandIn.java
@@ -0,0 +1,260 @@
+package org.eelgrasspitch.testkit.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * Stands in for the platform's store: items with one revision counter, listing in pages,
+ * watches, and the ways in which the store fails.
+ */
+public final class StoreStandIn implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int GONE = 410;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int PAGE = 3;
+
+	private static final long LOOK_MILLIS = 10;
+
+	private final HttpServer server;
+
+	private final TreeMap<String, Item> items = new TreeMap<>();
+
+	private final List<Event> events = new ArrayList<>();
+
+	private final AtomicInteger calls = new AtomicInteger();
+
+	private long revision = 100;
+
+	/** Changes up to this revision are forgotten. */
+	private long compactedAt;
+
+	private volatile Fault fault = Fault.NONE;
+
+	/**
+	 * Starts a store.
+	 * @param address where it listens
+	 * @throws IOException if the address cannot be bound
+	 */
+	public StoreStandIn(InetSocketAddress address) throws IOException {
+		this.server = HttpServer.create(address, 0);
+		this.server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+		this.server.createContext("/", this::handle);
+		this.server.start();
+	}
+
+	/**
+	 * Returns where it listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.server.getAddress();
+	}
+
+	/**
+	 * Returns the calls that were made.
+	 * @return the number
+	 */
+	public int calls() {
+		return this.calls.get();
+	}
+
+	/**
+	 * Writes an item.
+	 * @param key its key
+	 * @param value its content
+	 */
+	public synchronized void put(String key, String value) {
+		this.revision++;
+		Item item = new Item(value.getBytes(StandardCharsets.UTF_8), this.revision);
+		this.items.put(key, item);
+		this.events.add(new Event(key, this.revision, item));
+	}
+
+	/**
+	 * Removes an item.
+	 * @param key its key
+	 */
+	public synchronized void remove(String key) {
+		this.revision++;
+		this.items.remove(key);
+		this.events.add(new Event(key, this.revision, null));
+	}
+
+	/**
+	 * Forgets all history.
+	 */
+	public synchronized void compact() {
+		this.compactedAt = this.revision;
+	}
+
+	/**
+	 * Switches how the store fails from now on.
+	 * @param kind how
+	 */
+	public void fail(Fault kind) {
+		this.fault = kind;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+	}
+
+	private void handle(HttpExchange exchange) throws IOException {
+		this.calls.incrementAndGet();
+		Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
+		if (failed(exchange)) {
+			return;
+		}
+		switch (exchange.getRequestURI().getPath()) {
+			case "/api/kv-range" -> answer(exchange, OK, range(query));
+			case "/api/kv-watch" -> watch(exchange, query);
+			default -> answer(exchange, NOT_FOUND, "{}");
+		}
+	}
+
+	private boolean failed(HttpExchange exchange) throws IOException {
+		switch (this.fault) {
+			case NONE -> {
+				return false;
+			}
+			case BUSY -> answer(exchange, UNAVAILABLE, "{}");
+			case RESET -> exchange.close();
+			case SILENT -> {
+				while (this.fault == Fault.SILENT) {
+					pause();
+				}
+				exchange.close();
+			}
+		}
+		return true;
+	}
+
+	private synchronized String range(Map<String, String> query) {
+		String prefix = query.get("path_prefix");
+		String after = query.getOrDefault("after", "");
+		List<Map.Entry<String, Item>> matching = this.items.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().startsWith(prefix) && entry.getKey().compareTo(after) > 0)
+			.toList();
+		String page = matching.stream()
+			.limit(PAGE)
+			.map((entry) -> json(entry.getKey(), entry.getValue()))
+			.collect(Collectors.joining(","));
+		return "{\"items\":[" + page + "],\"has_more\":" + (matching.size() > PAGE) + ",\"store_revision\":"
+				+ this.revision + "}";
+	}
+
+	private void watch(HttpExchange exchange, Map<String, String> query) throws IOException {
+		long after = Long.parseLong(query.get("after"));
+		long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.get("wait_ms")));
+		while (true) {
+			if (isForgotten(after)) {
+				answer(exchange, GONE, "{}");
+				return;
+			}
+			if (this.fault != Fault.NONE && failed(exchange)) {
+				return;
+			}
+			String changes = changes(query.get("path_prefix"), after);
+			if (!changes.startsWith("{\"events\":[]") || System.nanoTime() > until) {
+				answer(exchange, OK, changes);
+				return;
+			}
+			pause();
+		}
+	}
+
+	private synchronized boolean isForgotten(long after) {
+		return after < this.compactedAt;
+	}
+
+	private synchronized String changes(String prefix, long after) {
+		String changed = this.events.stream()
+			.filter((event) -> event.revision > after && event.key.startsWith(prefix))
+			.map((event) -> (event.item != null) ? json(event.key, event.item)
+					: "{\"key\":\"" + event.key + "\",\"rev\":" + event.revision + ",\"removed\":true}")
+			.collect(Collectors.joining(","));
+		return "{\"events\":[" + changed + "],\"store_revision\":" + this.revision + "}";
+	}
+
+	private static String json(String key, Item item) {
+		return "{\"key\":\"" + key + "\",\"value\":\"" + Base64.getEncoder().encodeToString(item.value) + "\",\"rev\":"
+				+ item.revision + ",\"create_rev\":" + item.revision + ",\"lease\":0}";
+	}
+
+	private static void answer(HttpExchange exchange, int status, String body) throws IOException {
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		exchange.sendResponseHeaders(status, bytes.length);
+		try (exchange) {
+			exchange.getResponseBody().write(bytes);
+		}
+	}
+
+	private static Map<String, String> query(String raw) {
+		Map<String, String> query = new HashMap<>();
+		for (String part : raw.split("&")) {
+			int equals = part.indexOf('=');
+			query.put(part.substring(0, equals), URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
+		}
+		return query;
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * How the store fails.
+	 */
+	public enum Fault {
+
+		/** Not at all. */
+		NONE,
+
+		/** It answers with status 503. */
+		BUSY,
+
+		/** It closes connections. */
+		RESET,
+
+		/** It does not answer. */
+		SILENT
+
+	}
+
+	private record Item(byte[] value, long revision) {
+
+	}
+
+	private record Event(String key, long revision, Item item) {
+
+	}
+
+}
