Judge a target by the time of the request's own route

Change: homes report the time at the target with each answer; the entry keeps it by target and route and forgets it after 8 s.

--- a/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
@@ -7,8 +7,9 @@
  * @param near whether it is in the failure domain of the entry
  * @param load the last word of its home
  * @param sentSince requests that this entry has sent there after that word
+ * @param serviceMillis time that a request of this route takes there; 0 when not known
  * @param coldMillis how much longer the target is slow after its start
  */
-public record Candidate(String id, boolean near, HomeLoad load, int sentSince, long coldMillis) {
+public record Candidate(String id, boolean near, HomeLoad load, int sentSince, double serviceMillis, long coldMillis) {
 
 }
--- a/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
@@ -82,7 +82,8 @@
 	 */
 	public static double expectedMillis(Candidate candidate) {
 		HomeLoad load = candidate.load();
-		double service = (load.serviceMillis() > 0) ? load.serviceMillis() : UNKNOWN_SERVICE_MILLIS;
+		double typical = (load.serviceMillis() > 0) ? load.serviceMillis() : UNKNOWN_SERVICE_MILLIS;
+		double service = (candidate.serviceMillis() > 0) ? candidate.serviceMillis() : typical;
 		int slots = Math.max(1, load.slots());
 		int ahead = Math.max(0, load.running() + candidate.sentSince() - slots);
 		double queued = (load.waiting() > 0) ? candidate.sentSince() : ahead;
@@ -91,7 +92,7 @@
 		// A target that is nearly full slows down, so load counts a little before it
 		// queues.
 		double use = Math.min(1, (load.running() + candidate.sentSince()) / (double) slots);
-		return (load.waitMillis() + queued * service / slots + service * factor * (1 + use / 4)) / success;
+		return (load.waitMillis() + queued * typical / slots + service * factor * (1 + use / 4)) / success;
 	}
 
 	private Candidate best(List<Candidate> candidates) {
--- a/core/src/main/java/org/eelgrasspitch/mesh/ServiceTimes.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/ServiceTimes.java
@@ -4,7 +4,9 @@
 import java.util.Map;
 
 /**
- * Smoothed service times of one target, by route and over all routes.
+ * Smoothed service times of one target, by route and over all routes. A time that has not
+ * been observed for {@link #STALE_MILLIS} is forgotten, so that a target that was slow
+ * for a while is judged anew.
  */
 public final class ServiceTimes {
 
@@ -17,7 +19,10 @@
 	/** Most routes remembered; beyond them the overall time is used. */
 	private static final int MAX_ROUTES = 512;
 
-	private final Map<String, Double> byRoute = new HashMap<>();
+	/** Time after which an observation says nothing of the present, in milliseconds. */
+	private static final long STALE_MILLIS = 8_000;
+
+	private final Map<String, Observation> byRoute = new HashMap<>();
 
 	/** Over all routes; 0 before the first observation. */
 	private double overall;
@@ -26,21 +31,40 @@
 	 * Notes how long a request took.
 	 * @param route name of its route
 	 * @param millis time at the target in milliseconds
+	 * @param now current monotonic time in milliseconds
 	 */
-	public void observed(String route, double millis) {
+	public void observed(String route, double millis, long now) {
 		this.overall = smoothed(this.overall, millis);
+		if (this.byRoute.size() >= MAX_ROUTES && !this.byRoute.containsKey(route)) {
+			this.byRoute.values().removeIf((observation) -> observation.isStale(now));
+		}
 		if (this.byRoute.size() < MAX_ROUTES || this.byRoute.containsKey(route)) {
-			this.byRoute.merge(route, millis, ServiceTimes::smoothed);
+			this.byRoute.put(route, new Observation(smoothed(recent(route, now), millis), now));
 		}
 	}
 
+	/**
+	 * Returns the recent time of a route.
+	 * @param route its name
+	 * @param now current monotonic time in milliseconds
+	 * @return the time in milliseconds; 0 when there is no recent one
+	 */
+	public double recent(String route, long now) {
+		Observation observation = this.byRoute.get(route);
+		return (observation == null || observation.isStale(now)) ? 0 : observation.millis();
+	}
+
 	/**
 	 * Returns the expected time of a request.
 	 * @param route name of its route
 	 * @return the time in milliseconds
 	 */
 	public double expected(String route) {
-		return this.byRoute.getOrDefault(route, (this.overall > 0) ? this.overall : INITIAL_MILLIS);
+		Observation observation = this.byRoute.get(route);
+		if (observation != null) {
+			return observation.millis();
+		}
+		return (this.overall > 0) ? this.overall : INITIAL_MILLIS;
 	}
 
 	/**
@@ -55,4 +79,18 @@
 		return (former == 0) ? millis : former + WEIGHT * (millis - former);
 	}
 
+	/**
+	 * The time of one route.
+	 *
+	 * @param millis the smoothed time in milliseconds
+	 * @param at when it was last observed, in monotonic milliseconds
+	 */
+	private record Observation(double millis, long at) {
+
+		boolean isStale(long now) {
+			return now - this.at > STALE_MILLIS;
+		}
+
+	}
+
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -12,6 +12,7 @@
 import org.eelgrasspitch.mesh.Candidate;
 import org.eelgrasspitch.mesh.MeshRoute;
 import org.eelgrasspitch.mesh.Placement;
+import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.TargetEntry;
 
 /**
@@ -39,6 +40,9 @@
 	/** Longest time that callers of a route have allowed, in milliseconds. */
 	private final Map<String, Long> usualMillis = new HashMap<>();
 
+	/** What this entry has observed of each target, by its identifier. */
+	private final Map<String, ServiceTimes> times = new HashMap<>();
+
 	private View view = View.EMPTY;
 
 	private double draw;
@@ -67,6 +71,7 @@
 
 	void use(View newest) {
 		this.view = newest;
+		this.times.keySet().removeIf((target) -> newest.directory().find(target).isEmpty());
 	}
 
 	CallerLimits limits() {
@@ -123,16 +128,17 @@
 
 	/**
 	 * Chooses a target.
+	 * @param route name of the request's route
 	 * @param service the service
 	 * @param tried identifiers of targets that are passed over
 	 * @param objectiveMillis time left until the answer is late
 	 * @return the choice, or empty when no target takes requests
 	 */
-	Optional<TargetEntry> choose(String service, Set<String> tried, long objectiveMillis) {
+	Optional<TargetEntry> choose(String route, String service, Set<String> tried, long objectiveMillis) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (TargetEntry entry : this.view.directory().of(service)) {
 			if (!entry.draining() && !tried.contains(entry.id())) {
-				candidate(entry).ifPresent(candidates::add);
+				candidate(entry, route).ifPresent(candidates::add);
 			}
 		}
 		return this.placement.choose(candidates, objectiveMillis)
@@ -166,6 +172,16 @@
 		return this.links.to(target).map((link) -> link.open(head, sink)).orElse(null);
 	}
 
+	/**
+	 * Notes how long a target took for a request.
+	 * @param target identifier of the target
+	 * @param route name of the request's route
+	 * @param millis the time in milliseconds
+	 */
+	void observed(String target, String route, int millis) {
+		this.times.computeIfAbsent(target, (id) -> new ServiceTimes()).observed(route, millis, this.fabric.now());
+	}
+
 	void firstSend(String service) {
 		this.budget.sent(service, this.fabric.now());
 	}
@@ -182,13 +198,15 @@
 		return entry.address().equals(this.fabric.settings().targetAddress());
 	}
 
-	private Optional<Candidate> candidate(TargetEntry entry) {
+	private Optional<Candidate> candidate(TargetEntry entry, String route) {
 		boolean near = entry.failureDomain().equals(this.fabric.settings().failureDomain());
+		ServiceTimes observed = this.times.get(entry.id());
+		double millis = (observed != null) ? observed.recent(route, this.fabric.now()) : 0;
 		if (isOwn(entry)) {
-			return Optional.of(new Candidate(entry.id(), near, this.home.load(), 0, entry.coldMillis()));
+			return Optional.of(new Candidate(entry.id(), near, this.home.load(), 0, millis, entry.coldMillis()));
 		}
 		return this.links.to(entry)
-			.map((link) -> new Candidate(entry.id(), near, link.load(), link.sentSince(), entry.coldMillis()));
+			.map((link) -> new Candidate(entry.id(), near, link.load(), link.sentSince(), millis, entry.coldMillis()));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -256,7 +256,8 @@
 			return;
 		}
 		long now = this.service.fabric().now();
-		Optional<TargetEntry> target = this.service.choose(this.destination, this.tried, this.objectiveAt - now);
+		Optional<TargetEntry> target = this.service.choose(this.route.name(), this.destination, this.tried,
+				this.objectiveAt - now);
 		if (target.isEmpty()) {
 			placeLater(now);
 			return;
@@ -330,7 +331,8 @@
 		}
 		long now = this.service.fabric().now();
 		return this.reached < this.route.maxAttempts() && now + REPEAT_MILLIS < this.deadlineAt
-				&& this.service.choose(this.destination, this.tried, this.objectiveAt - now).isPresent()
+				&& this.service.choose(this.route.name(), this.destination, this.tried, this.objectiveAt - now)
+					.isPresent()
 				&& this.service.tryRepeat(this.destination);
 	}
 
@@ -562,6 +564,7 @@
 				return;
 			}
 			this.reply = head;
+			Exchange.this.service.observed(this.target.id(), Exchange.this.route.name(), head.targetMillis());
 		}
 
 		private boolean tryInstead() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -176,7 +176,7 @@
 	void finished(HomeCall call, boolean good) {
 		long took = this.fabric.now() - call.startedAt();
 		if (good) {
-			this.times.observed(call.head().route(), took);
+			this.times.observed(call.head().route(), took, this.fabric.now());
 		}
 		this.failureShare += FAILURE_WEIGHT * ((good ? 0 : 1) - this.failureShare);
 		released();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
@@ -87,11 +87,13 @@
 	}
 
 	static LinkReply wire(long stream, ReplyHead reply) {
-		return new LinkReply(stream, reply.status(), reply.headers(), reply.bodyLength(), wire(reply.load()));
+		return new LinkReply(stream, reply.status(), reply.headers(), reply.bodyLength(), wire(reply.load()),
+				reply.targetMillis());
 	}
 
 	static ReplyHead reply(LinkReply reply) {
-		return new ReplyHead(reply.getStatus(), reply.getHeaders(), reply.getBodyLength(), load(reply.getLoad()));
+		return new ReplyHead(reply.getStatus(), reply.getHeaders(), reply.getBodyLength(), reply.getTargetMillis(),
+				load(reply.getLoad()));
 	}
 
 	static LinkFailure wire(long stream, CallFailure failure) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ReplyHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ReplyHead.java
@@ -10,8 +10,9 @@
  * @param status the status code
  * @param headers names and values in turn, without those that concern one connection
  * @param bodyLength length of the body, or {@link CallHead#CHUNKED}
+ * @param targetMillis time from the start at the target to its answer
  * @param load the home's load
  */
-record ReplyHead(int status, List<String> headers, long bodyLength, HomeLoad load) {
+record ReplyHead(int status, List<String> headers, long bodyLength, int targetMillis, HomeLoad load) {
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -247,8 +247,8 @@
 		this.answering = true;
 		this.good = status < SERVER_ERROR;
 		List<String> headers = Headers.travelling(response.headers(), Set.of());
-		this.call
-			.replied(new ReplyHead(status, headers, Headers.bodyLength(response, CallHead.CHUNKED), this.home.load()));
+		this.call.replied(new ReplyHead(status, headers, Headers.bodyLength(response, CallHead.CHUNKED),
+				(int) (this.home.now() - this.call.startedAt()), this.home.load()));
 	}
 
 	private void content(HttpContent content) {
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -83,6 +83,7 @@
   // -1: no length is known
   4: required i64 bodyLength
   5: required LinkLoad load
+  6: required i32 targetMillis
 }
 
 // Ends a call without an answer.
