Serve metrics: requests, calls, retries, latencies and beliefs

Figures: scenario 'Metrics count requests by what became of them' passes, all others of platform.feature as well.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 
 /**
  * Listens for callers and for the deployment's question whether this node is ready.
@@ -51,6 +53,10 @@
 			.childHandler(readinessInitializer())
 			.bind(fabric.settings().readinessAddress())
 			.syncUninterruptibly();
+		Connections.server(fabric.loop())
+			.childHandler(metricsInitializer())
+			.bind(fabric.settings().metricsAddress())
+			.syncUninterruptibly();
 		fabric.loop().scheduleAtFixedRate(this::checkIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -98,6 +104,46 @@
 		};
 	}
 
+	private ChannelInitializer<Channel> metricsInitializer() {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline().addLast(new HttpServerCodec()).addLast(new Exposition(EntryServer.this.service));
+			}
+		};
+	}
+
+	/**
+	 * Answers with all metrics.
+	 */
+	private static final class Exposition extends ChannelInboundHandlerAdapter {
+
+		private final EntryService service;
+
+		Exposition(EntryService service) {
+			this.service = service;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (message instanceof HttpRequest) {
+				byte[] body = this.service.fabric().metrics().exposition();
+				DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+						HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+				response.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+				context.writeAndFlush(response);
+			}
+			ReferenceCountUtil.release(message);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
 	/**
 	 * Tells a connection when the first bytes of a request arrive.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -23,6 +23,7 @@
 import org.eelgrasspitch.mesh.HomeLoad;
 import org.eelgrasspitch.mesh.MeshRoute;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.proxy.ProxyMetrics.Outcome;
 
 /**
  * One request of a caller at its entry, from its head to the end of its answer.
@@ -125,6 +126,9 @@
 
 	private boolean ended;
 
+	/** What became of the request if nothing else is noted. */
+	private Outcome outcome = Outcome.ANSWERED;
+
 	Exchange(EntryService service, CallerConnection connection, CallerRequest request) {
 		this.service = service;
 		this.connection = connection;
@@ -233,6 +237,7 @@
 			.log()
 			.log(LogEvent.REQUEST_CANCELLED, "request", this.request.id(), "route", routeName(), "after_ms", age(),
 					"sent", this.attempt != null);
+		this.outcome = Outcome.CANCELLED;
 		cancelAttempt();
 		end();
 	}
@@ -317,6 +322,7 @@
 			return;
 		}
 		if (mayRepeat(failure)) {
+			this.service.fabric().metrics().retried(failure.reason());
 			this.service.fabric()
 				.log()
 				.log(LogEvent.REQUEST_RETRIED, "request", this.request.id(), "route", this.route.name(), "target",
@@ -372,6 +378,7 @@
 	}
 
 	private void unavailable(String reason) {
+		this.outcome = Outcome.REFUSED;
 		int base = (this.returnMillis > 0) ? this.returnMillis : DEFAULT_RETURN_MILLIS;
 		double spread = 1 + RETURN_SPREAD * (this.service.fabric().random().nextDouble() - RETURN_SPREAD);
 		long millis = Math.max(1, Math.round(base * spread));
@@ -386,6 +393,7 @@
 	}
 
 	private void refuse(HttpResponseStatus status, String reason) {
+		this.outcome = Outcome.REFUSED;
 		this.service.fabric()
 			.log()
 			.log(LogEvent.REQUEST_REFUSED, "request", this.request.id(), "status", status.code(), "reason", reason,
@@ -394,6 +402,7 @@
 	}
 
 	private void fail(HttpResponseStatus status) {
+		this.outcome = Outcome.FAILED;
 		this.service.fabric()
 			.log()
 			.log(LogEvent.REQUEST_FAILED, "request", this.request.id(), "route", routeName(), "status", status.code(),
@@ -440,6 +449,7 @@
 			return;
 		}
 		this.ended = true;
+		this.service.fabric().metrics().requestEnded(this.outcome, age());
 		this.body.clear();
 		this.unsent.clear();
 		if (this.deadline != null) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Fabric.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Fabric.java
@@ -14,9 +14,10 @@
  * @param time source of time
  * @param random source of randomness
  * @param log the decision log
+ * @param metrics counters and latencies
  */
 record Fabric(ProxySettings settings, HeaderNames names, EventLoop loop, TimeSource time, RandomGenerator random,
-		DecisionLog log) {
+		DecisionLog log, ProxyMetrics metrics) {
 
 	long now() {
 		return this.time.monotonicMillis();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -16,6 +16,7 @@
 import org.eelgrasspitch.mesh.HomeQueue.Job;
 import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.proxy.ProxyMetrics.Outcome;
 
 /**
  * The home of the target on this VM. Every request for the target passes here, so the
@@ -138,7 +139,7 @@
 	 * @return where the rest of the call goes
 	 */
 	CallFlow accept(CallHead head, CallSink sink) {
-		HomeCall call = new HomeCall(this, head, sink);
+		HomeCall call = new HomeCall(this, head, sink, now());
 		if (this.leaving) {
 			refuse(call, FailureReason.LEAVING, DOWN_RETURN_MILLIS);
 			return call;
@@ -185,6 +186,8 @@
 	 */
 	void finished(HomeCall call, boolean good) {
 		long took = this.fabric.now() - call.startedAt();
+		this.fabric.metrics().targetTook(took);
+		this.fabric.metrics().callEnded(good ? Outcome.ANSWERED : Outcome.FAILED);
 		if (good) {
 			this.times.observed(call.head().route(), took, this.fabric.now());
 		}
@@ -254,6 +257,7 @@
 	}
 
 	private void refuse(HomeCall call, FailureReason reason, int returnMillis) {
+		this.fabric.metrics().callEnded(Outcome.REFUSED);
 		this.fabric.log()
 			.log(LogEvent.CALL_REFUSED, "request", call.head().requestId(), "reason", reason.word(), "running",
 					this.queue.running(), "waiting", this.queue.waiting(), "slots", this.slots, "left_ms",
@@ -272,6 +276,7 @@
 	 * @param call the call
 	 */
 	void permitted(HomeCall call) {
+		this.fabric.metrics().callStarted(now() - call.receivedAt());
 		TargetConnection connection = takeIdle(call.head().idempotent());
 		if (connection != null) {
 			connection.send(call);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -26,9 +26,12 @@
 
 	private boolean bodyComplete;
 
+	private final long receivedAt;
+
 	private long startedAt;
 
-	HomeCall(Home home, CallHead head, CallSink sink) {
+	HomeCall(Home home, CallHead head, CallSink sink, long receivedAt) {
+		this.receivedAt = receivedAt;
 		this.home = home;
 		this.head = head;
 		this.sink = sink;
@@ -55,6 +58,10 @@
 		return this.bodyComplete && this.body.isEmpty();
 	}
 
+	long receivedAt() {
+		return this.receivedAt;
+	}
+
 	long startedAt() {
 		return this.startedAt;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LineHandler.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LineHandler.java
@@ -25,6 +25,9 @@
 	/** Lines are written together this often, in milliseconds, to save system calls. */
 	private static final long GATHER_MILLIS = 100;
 
+	/** The handler of this process; null when logs go elsewhere. */
+	private static volatile LineHandler installed;
+
 	private final BlockingQueue<String> lines;
 
 	private final AtomicLong dropped = new AtomicLong();
@@ -44,6 +47,15 @@
 		thread.start();
 	}
 
+	/**
+	 * Returns the lines dropped by the installed handler and not yet reported.
+	 * @return the number; 0 when none is installed
+	 */
+	static long droppedLines() {
+		LineHandler handler = installed;
+		return (handler != null) ? handler.dropped() : 0;
+	}
+
 	/**
 	 * Makes standard output the destination of all logging.
 	 */
@@ -52,7 +64,8 @@
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
-		root.addHandler(new LineHandler(System.out, CAPACITY));
+		installed = new LineHandler(System.out, CAPACITY);
+		root.addHandler(installed);
 	}
 
 	@Override
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -123,6 +123,10 @@
 		return Math.max(wanted().size() + 1, this.byPeer.size() + 1);
 	}
 
+	int open() {
+		return this.byPeer.size();
+	}
+
 	Fabric fabric() {
 		return this.fabric;
 	}
@@ -158,6 +162,7 @@
 			.filter((other) -> other.isOpen() && other.peer().getAddress().equals(link.peer().getAddress()))
 			.findFirst()
 			.ifPresent((other) -> this.byPeer.put(other.peer().getAddress(), other));
+		this.fabric.metrics().linkLost();
 		this.fabric.log()
 			.log(LogEvent.LINK_LOST, "peer", vm, "reason", reason, "calls_lost", callsLost, "calls_dropped",
 					callsDropped, "silent_ms", this.fabric.now() - link.lastHeardAt());
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -0,0 +1,156 @@
+package org.eelgrasspitch.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.DoubleSupplier;
+
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The metrics of a node. Labels have few values, all from enumerations.
+ */
+final class ProxyMetrics {
+
+	/**
+	 * Bounds of latency buckets in seconds: from a link's round trip to the longest
+	 * waits.
+	 */
+	private static final double[] BUCKETS = { 0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
+	private static final double MILLIS_PER_SECOND = 1_000.0;
+
+	private static final String PREFIX = "eelgrasspitch_proxy_";
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	/** Names of all metrics. */
+	private final Set<String> names = new TreeSet<>();
+
+	private final Counter requests = counter("requests_total", "Requests of callers by what became of them", "outcome");
+
+	private final Counter retries = counter("retries_total", "Requests sent to another target, by cause", "cause");
+
+	private final Counter calls = counter("calls_total", "Calls at this home by what became of them", "outcome");
+
+	private final Counter linksLost = counter("links_lost_total", "Links to peers that were lost");
+
+	private final DistributionDataPoint requestSeconds = histogram("request_seconds",
+			"Time from a request's head to the end of its answer");
+
+	private final DistributionDataPoint queueSeconds = histogram("queue_seconds",
+			"Time that calls waited at this home");
+
+	private final DistributionDataPoint targetSeconds = histogram("target_seconds",
+			"Time from the start of a call at the target to its end");
+
+	/**
+	 * Adds a value that is read when metrics are.
+	 * @param name its name without the common prefix
+	 * @param help what it tells
+	 * @param value reads it
+	 */
+	void watch(String name, String help, DoubleSupplier value) {
+		this.names.add(PREFIX + name);
+		GaugeWithCallback.builder()
+			.name(PREFIX + name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsDouble()))
+			.register(this.registry);
+	}
+
+	/**
+	 * Returns the names of all metrics.
+	 * @return the names in alphabetical order
+	 */
+	Set<String> names() {
+		return Set.copyOf(this.names);
+	}
+
+	void requestEnded(Outcome outcome, long millis) {
+		this.requests.labelValues(word(outcome)).inc();
+		this.requestSeconds.observe(millis / MILLIS_PER_SECOND);
+	}
+
+	void retried(FailureReason cause) {
+		this.retries.labelValues(cause.word()).inc();
+	}
+
+	void callStarted(long waitedMillis) {
+		this.queueSeconds.observe(waitedMillis / MILLIS_PER_SECOND);
+	}
+
+	void callEnded(Outcome outcome) {
+		this.calls.labelValues(word(outcome)).inc();
+	}
+
+	void targetTook(long millis) {
+		this.targetSeconds.observe(millis / MILLIS_PER_SECOND);
+	}
+
+	void linkLost() {
+		this.linksLost.inc();
+	}
+
+	/**
+	 * Returns all metrics.
+	 * @return the Prometheus text format
+	 */
+	byte[] exposition() {
+		try {
+			ByteArrayOutputStream output = new ByteArrayOutputStream();
+			PrometheusTextFormatWriter.create().write(output, this.registry.scrape());
+			return output.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private Counter counter(String name, String help, String... labels) {
+		this.names.add(PREFIX + name);
+		return Counter.builder().name(PREFIX + name).help(help).labelNames(labels).register(this.registry);
+	}
+
+	private DistributionDataPoint histogram(String name, String help) {
+		this.names.add(PREFIX + name);
+		return Histogram.builder()
+			.name(PREFIX + name)
+			.help(help)
+			.classicOnly()
+			.classicUpperBounds(BUCKETS)
+			.register(this.registry);
+	}
+
+	private static String word(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * What became of a request or a call.
+	 */
+	enum Outcome {
+
+		/** It was answered by a target. */
+		ANSWERED,
+
+		/** It was refused and has not run. */
+		REFUSED,
+
+		/** It failed and may have run. */
+		FAILED,
+
+		/** Its caller left. */
+		CANCELLED
+
+	}
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -56,7 +56,7 @@
 		EventLoop control = loop("control");
 		SecureRandom seed = new SecureRandom();
 		this.fabric = new Fabric(settings, names, traffic, time, new SplittableRandom(seed.nextLong()),
-				new DecisionLog(settings.vm(), time));
+				new DecisionLog(settings.vm(), time), new ProxyMetrics());
 		this.home = new Home(this.fabric);
 		this.links = new Links(this.fabric, this.home, seed.nextLong(1, Long.MAX_VALUE));
 		this.entry = new EntryService(this.fabric, this.home, this.links);
@@ -65,6 +65,7 @@
 		BeliefKeeper beliefs = new BeliefKeeper(control, time, decoder, this.fabric.log(),
 				(view) -> traffic.execute(() -> use(view)), this.source::refresh);
 		control.execute(() -> this.source.start(beliefs));
+		watch();
 		this.links.start(beliefs);
 		this.server.start();
 		this.clockOffset = time.wallMillis() - time.monotonicMillis();
@@ -157,6 +158,21 @@
 		}
 	}
 
+	private void watch() {
+		ProxyMetrics metrics = this.fabric.metrics();
+		metrics.watch("config_version", "Version of the configuration in force; 0 before the first",
+				() -> (this.entry.view().config() != null) ? this.entry.view().config().version() : 0);
+		metrics.watch("targets", "Targets that are believed to exist",
+				() -> this.entry.view().directory().all().size());
+		metrics.watch("links", "Open links to peers", this.links::open);
+		metrics.watch("active_requests", "Requests of callers in progress", this.entry::active);
+		metrics.watch("running_calls", "Calls that run at the target", () -> this.home.load().running());
+		metrics.watch("waiting_calls", "Calls that wait at this home", () -> this.home.load().waiting());
+		metrics.watch("target_failure_share", "Smoothed share of calls that the target failed",
+				() -> this.home.load().failurePercent() / 100.0);
+		metrics.watch("log_lines_dropped", "Log lines dropped and not yet reported", LineHandler::droppedLines);
+	}
+
 	private EventLoop loop(String name) {
 		EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory(name, true));
 		this.closer.register(() -> group.shutdownGracefully(0, END_MILLIS / 2, TimeUnit.MILLISECONDS)
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
@@ -11,6 +11,7 @@
  * @param entryAddress where callers and the target send their requests
  * @param readinessAddress where the deployment asks whether this node is ready
  * @param linkAddress where peers reach this node; the port is the same on every VM
+ * @param metricsAddress where metrics are served
  * @param targetAddress where the target of this VM listens
  * @param sourceAddress where the published documents are read
  * @param drainMillis time after which a target that is leaving gets nothing new
@@ -20,8 +21,8 @@
  * @param retryWindowMillis length of that window
  */
 public record ProxySettings(String vm, String failureDomain, String service, InetSocketAddress entryAddress,
-		InetSocketAddress readinessAddress, InetSocketAddress linkAddress, InetSocketAddress targetAddress,
-		InetSocketAddress sourceAddress, long drainMillis, long stopMillis, double retryRatio, double retryMinimum,
-		long retryWindowMillis) {
+		InetSocketAddress readinessAddress, InetSocketAddress linkAddress, InetSocketAddress metricsAddress,
+		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, long drainMillis, long stopMillis,
+		double retryRatio, double retryMinimum, long retryWindowMillis) {
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -71,8 +71,8 @@
 	private static ProxySettings settings(Fields fields) {
 		return new ProxySettings(fields.text("vm"), fields.text("failureDomain"), fields.text("service"),
 				address(fields, "entryAddress"), address(fields, "readinessAddress"), address(fields, "linkAddress"),
-				address(fields, "targetAddress"), address(fields, "sourceAddress"), millis(fields, "drainSeconds"),
-				millis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
+				address(fields, "metricsAddress"), address(fields, "targetAddress"), address(fields, "sourceAddress"),
+				millis(fields, "drainSeconds"), millis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
 				fields.number("retryMinimum", 0, MAX_RETRIES), millis(fields, "retryWindowSeconds"));
 	}
 
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -314,6 +314,12 @@
 		}
 	}
 
+	@Then("the metrics of {word} say {string}")
+	public void metrics(String vm, String line) throws IOException {
+		String metrics = this.world.metrics(vm);
+		Assert.assertTrue(metrics.lines().anyMatch(line::equals), metrics);
+	}
+
 	@Then("none of its requests was cut off")
 	public void noneCutOff() {
 		Assert.assertEquals(this.cutOff, 0);
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -51,6 +51,8 @@
 
 	private final int readinessPort = freePort();
 
+	private final int metricsPort = freePort();
+
 	private final Map<String, ServerStandIn> servers = new LinkedHashMap<>();
 
 	private final Map<String, ProxyNode> nodes = new LinkedHashMap<>();
@@ -98,8 +100,9 @@
 
 	void startNode(String vm) {
 		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
-				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.serverPort),
-				this.store.address(), DRAIN_MILLIS, STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM, RETRY_WINDOW_MILLIS);
+				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.metricsPort),
+				address(vm, this.serverPort), this.store.address(), DRAIN_MILLIS, STOP_MILLIS, RETRY_RATIO,
+				RETRY_MINIMUM, RETRY_WINDOW_MILLIS);
 		this.nodes.put(vm, this.closer.register(PlatformNode.start(settings)));
 	}
 
@@ -149,6 +152,13 @@
 		}
 	}
 
+	String metrics(String vm) throws IOException {
+		try (RawCaller reader = new RawCaller(address(vm, this.metricsPort))) {
+			reader.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+			return reader.read().body();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.closer.close();
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -171,3 +171,12 @@
     And a requester at pay-a sends GET /desk/ok
     Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
     And the server at desk-a refused at most 2 requests as misdirected
+
+  Scenario: Metrics count requests by what became of them
+    When a requester at desk-a sends GET /desk/ok
+    And a requester at desk-a sends POST /pay/lost
+    And a requester at desk-a sends POST /pay/refuse
+    Then the metrics of desk-a say "eelgrasspitch_proxy_requests_total{outcome=\"answered\"} 1.0"
+    And the metrics of desk-a say "eelgrasspitch_proxy_requests_total{outcome=\"failed\"} 1.0"
+    And the metrics of desk-a say "eelgrasspitch_proxy_requests_total{outcome=\"refused\"} 1.0"
+    And the metrics of desk-a say "eelgrasspitch_proxy_config_version 10.0"
