Count calls of repeated requests against the budget of the called service

Ruled out: the number of nodes believed (14 of 14), the window. Change: a call says whether it repeats a request; the home knows the share of repeats among what runs at its target, and the entry beside that target counts the target's calls with that probability. Caution 0.6 of the budget (0.7 before). Test: AttemptBudgetTests.callsOfRepeatedRequestsCountAsRepeats.

--- a/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
@@ -12,8 +12,9 @@
  * The fleet may repeat a share of its requests plus a fixed number in any window. Each
  * node uses the share of its own requests and its part of the fixed number, divided by
  * the nodes that it believes exist. It keeps to {@link #CAUTION} of both, because nodes
- * may disagree about their number and because a repeated request repeats the calls that
- * its target makes.
+ * may disagree about their number. Calls that a target makes while it runs a repeated
+ * request are repeats of calls, too: the node beside that target counts them by the share
+ * of repeats among the requests that run there.
  * <p>
  * Load pattern answered: every target of a service fails while callers repeat on their
  * own; without the bound, each layer multiplies the load of the one above.
@@ -21,7 +22,7 @@
 public final class AttemptBudget {
 
 	/** Part of the fleet's budget that is used. */
-	private static final double CAUTION = 0.7;
+	private static final double CAUTION = 0.6;
 
 	/** Part of the budget open to callers who could come back on their own. */
 	private static final double OWN_RETURN = 0.5;
@@ -68,10 +69,10 @@
 	public boolean tryTake(String service, int nodes, boolean canReturn, long now) {
 		Window window = window(service, now);
 		double open = allowed(window, nodes) * (canReturn ? OWN_RETURN : 1);
-		if (window.repeats.size() + 1 > open) {
+		if (window.repeated + 1 > open) {
 			return false;
 		}
-		window.repeats.add(now);
+		window.add(now, 1);
 		return true;
 	}
 
@@ -84,7 +85,19 @@
 	 */
 	public int left(String service, int nodes, long now) {
 		Window window = window(service, now);
-		return Math.max(0, (int) allowed(window, nodes) - window.repeats.size());
+		return Math.max(0, (int) (allowed(window, nodes) - window.repeated));
+	}
+
+	/**
+	 * Counts a call that may belong to a repeated request.
+	 * @param service the service that it is sent to
+	 * @param probability how probable that is, 0 to 1
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void repeated(String service, double probability, long now) {
+		if (probability > 0) {
+			window(service, now).add(now, probability);
+		}
 	}
 
 	private double allowed(Window window, int nodes) {
@@ -93,25 +106,41 @@
 
 	private Window window(String service, long now) {
 		Window window = this.windows.computeIfAbsent(service, (name) -> new Window());
-		forget(window.requests, now);
-		forget(window.repeats, now);
-		return window;
-	}
-
-	private void forget(Deque<Long> times, long now) {
-		while (!times.isEmpty() && now - times.getFirst() >= this.windowMillis) {
-			times.removeFirst();
+		while (!window.requests.isEmpty() && now - window.requests.getFirst() >= this.windowMillis) {
+			window.requests.removeFirst();
 		}
+		while (!window.repeats.isEmpty() && now - window.repeats.getFirst().at() >= this.windowMillis) {
+			window.repeated -= window.repeats.removeFirst().weight();
+		}
+		return window;
 	}
 
 	/**
-	 * Times of sends to one service within the window, the oldest first.
+	 * Sends to one service within the window, the oldest first.
 	 */
 	private static final class Window {
 
 		private final Deque<Long> requests = new ArrayDeque<>();
 
-		private final Deque<Long> repeats = new ArrayDeque<>();
+		private final Deque<Repeat> repeats = new ArrayDeque<>();
+
+		/** Sum of the weights of all repeats. */
+		private double repeated;
+
+		void add(long at, double weight) {
+			this.repeats.add(new Repeat(at, weight));
+			this.repeated += weight;
+		}
+
+	}
+
+	/**
+	 * A repeat, or a call that may be one.
+	 *
+	 * @param at when, in monotonic milliseconds
+	 * @param weight how much it counts
+	 */
+	private record Repeat(long at, double weight) {
 
 	}
 
--- a/core/src/test/java/org/eelgrasspitch/mesh/AttemptBudgetTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/AttemptBudgetTests.java
@@ -55,6 +55,17 @@
 		Assert.assertTrue(budget.tryTake("b", 1, false, 0));
 	}
 
+	@Test
+	public void callsOfRepeatedRequestsCountAsRepeats() {
+		AttemptBudget budget = new AttemptBudget(RATIO, MINIMUM, WINDOW);
+		int before = budget.left("s", 1, 0);
+		for (int i = 0; i < 20; i++) {
+			budget.repeated("s", 0.5, 0);
+		}
+		Assert.assertEquals(budget.left("s", 1, 0), before - 10);
+		Assert.assertEquals(budget.left("s", 1, WINDOW), before);
+	}
+
 	@Test
 	public void callersThatCanComeBackLeaveAPartToThoseThatCannot() {
 		AttemptBudget budget = new AttemptBudget(RATIO, MINIMUM, WINDOW);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
@@ -15,10 +15,11 @@
  * @param objectiveAt when its answer becomes late, in monotonic milliseconds
  * @param rank importance; lower goes first
  * @param idempotent whether it may run more than once
+ * @param repeat whether another target has received it before
  * @param bodyLength length of the body; {@link #CHUNKED} or {@link #NO_BODY}
  */
 record CallHead(String requestId, String route, String target, String method, String uri, List<String> headers,
-		long deadlineAt, long objectiveAt, int rank, boolean idempotent, long bodyLength) {
+		long deadlineAt, long objectiveAt, int rank, boolean idempotent, boolean repeat, long bodyLength) {
 
 	/** A body follows whose length is not known beforehand. */
 	static final long CHUNKED = -1;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -204,8 +204,16 @@
 		this.times.computeIfAbsent(target, (id) -> new ServiceTimes()).observed(route, millis, this.fabric.now());
 	}
 
-	void firstSend(String service) {
+	/**
+	 * Notes the first send of a request.
+	 * @param service the service that it is sent to
+	 * @param internal whether the target of this VM sends it while it runs a request
+	 */
+	void firstSend(String service, boolean internal) {
 		this.budget.sent(service, this.fabric.now());
+		if (internal) {
+			this.budget.repeated(service, this.home.repeatShare(), this.fabric.now());
+		}
 	}
 
 	boolean tryRepeat(String service, boolean canReturn) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -288,11 +288,11 @@
 		this.tried.add(target.id());
 		CallHead head = new CallHead(this.request.id(), this.route.name(), target.id(), this.request.method(),
 				this.request.uri(), this.request.headers(), this.deadlineAt, this.objectiveAt, this.rank,
-				this.route.idempotent(), this.request.bodyLength());
+				this.route.idempotent(), this.reached > 0, this.request.bodyLength());
 		Attempt started = new Attempt(target, now);
 		this.attempt = started;
 		if (this.tried.size() == 1) {
-			this.service.firstSend(this.destination);
+			this.service.firstSend(this.destination, this.rank == INTERNAL_RANK);
 		}
 		if (DecisionLog.isSampled(this.request.id())) {
 			this.service.fabric()
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -83,6 +83,9 @@
 
 	private double failureShare;
 
+	/** Calls that run and that another target has received before. */
+	private int runningRepeats;
+
 	private boolean ticking;
 
 	private Runnable stateListener = () -> {
@@ -123,6 +126,14 @@
 				(int) (this.failureShare * PERCENT));
 	}
 
+	/**
+	 * Returns the share of repeats among the calls that run.
+	 * @return the share, 0 to 1
+	 */
+	double repeatShare() {
+		return Math.min(1, this.runningRepeats / (double) Math.max(1, this.queue.running()));
+	}
+
 	int inProgress() {
 		return this.queue.running() + this.queue.waiting();
 	}
@@ -175,7 +186,7 @@
 			TargetConnection connection = call.connection();
 			call.end();
 			connection.abort();
-			released();
+			ended(call);
 		}
 	}
 
@@ -192,7 +203,7 @@
 			this.times.observed(call.head().route(), took, this.fabric.now());
 		}
 		this.failureShare += FAILURE_WEIGHT * ((good ? 0 : 1) - this.failureShare);
-		released();
+		ended(call);
 	}
 
 	/**
@@ -237,6 +248,11 @@
 		return this.down ? HomeLoad.State.DOWN : HomeLoad.State.UP;
 	}
 
+	private void ended(HomeCall call) {
+		this.runningRepeats -= call.head().repeat() ? 1 : 0;
+		released();
+	}
+
 	private void released() {
 		carryOut(this.queue.release(this.slots, this.fabric.now()));
 	}
@@ -276,6 +292,7 @@
 	 * @param call the call
 	 */
 	void permitted(HomeCall call) {
+		this.runningRepeats += call.head().repeat() ? 1 : 0;
 		this.fabric.metrics().callStarted(now() - call.receivedAt());
 		TargetConnection connection = takeIdle(call.head().idempotent());
 		if (connection != null) {
@@ -317,13 +334,13 @@
 			if (!call.isEnded()) {
 				refuse(call, FailureReason.TARGET_DOWN, DOWN_RETURN_MILLIS);
 			}
-			released();
+			ended(call);
 			return;
 		}
 		if (call.isEnded() || call.isAbandoned()) {
 			call.end();
 			connection.release();
-			released();
+			ended(call);
 			return;
 		}
 		connection.send(call);
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -45,6 +45,7 @@
   11: required bool idempotent
   // -1: no length is known
   12: required i64 bodyLength
+  13: required bool repeat
 }
 
 // A piece of a body, in either direction.
