Explain a request from decision logs

Cause: on-call engineers have only logs; finding the cause of a failed request meant reading them by hand. Change: bin/eelgrasspitch explain tells a request's decisions at every hop in order, what was known of its target, and the cause in one sentence; it works on half of the logs and names broken lines. Figures: ExplanationTests, five cases, pass.

--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/ExplainCommand.java
@@ -0,0 +1,60 @@
+package org.eelgrasspitch.cli;
+
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/**
+ * Explains from log files what became of a request.
+ */
+final class ExplainCommand implements Command {
+
+	@Override
+	public void register(Subparsers parsers) {
+		Subparser parser = parsers.addParser("explain").help("tell from logs what became of a request, and why");
+		parser
+			.description("Reads the decision logs of any nodes and tells the story of one request. Exit code 0: found; "
+					+ "1: no log has it; 3: a file cannot be read. Example: eelgrasspitch explain 9c41d07be2a35f68 a.log b.log");
+		parser.addArgument("request").help("the caller's identifier of the request");
+		parser.addArgument("logs").nargs("+").help("log files");
+	}
+
+	@Override
+	public int run(Namespace arguments) {
+		Explanation explanation = new Explanation(arguments.getString("request"));
+		List<String> files = arguments.getList("logs");
+		for (String file : files) {
+			try {
+				read(Path.of(file), explanation);
+			}
+			catch (IOException ex) {
+				System.err.println("cannot read " + file + ": " + ex);
+				return ExitCode.UNAVAILABLE;
+			}
+		}
+		explanation.tell().forEach(System.out::println);
+		return explanation.isFound() ? ExitCode.OK : ExitCode.FAILED;
+	}
+
+	private static void read(Path file, Explanation explanation) throws IOException {
+		List<String> lines;
+		try {
+			lines = Files.readAllLines(file);
+		}
+		catch (MalformedInputException ex) {
+			// A log may end in the middle of a character; every byte is a character here.
+			lines = Files.readAllLines(file, StandardCharsets.ISO_8859_1);
+		}
+		for (int i = 0; i < lines.size(); i++) {
+			explanation.add(file + ":" + (i + 1), lines.get(i));
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Explanation.java
@@ -0,0 +1,203 @@
+package org.eelgrasspitch.cli;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.LocatedNode;
+import org.eelgrasspitch.misc.LocatedReader;
+
+/**
+ * Tells the story of one request from the decision logs of any nodes: every decision that
+ * touched it or a call that its target made, in order of time, the last thing that the
+ * deciding node had learned of the targets and links involved, and the cause in one
+ * sentence. Lines that cannot be read are counted and named.
+ */
+final class Explanation {
+
+	private static final int MAX_LINE_BYTES = 65_536;
+
+	private static final String REQUEST = "request";
+
+	private static final String TARGET = "target";
+
+	private final String requestId;
+
+	private final List<Entry> story = new ArrayList<>();
+
+	/** Changes of belief so far, by node and by what they are about. */
+	private final Map<String, Entry> beliefs = new LinkedHashMap<>();
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	/** Lines that look like log lines and cannot be read. */
+	private final List<String> unreadable = new ArrayList<>();
+
+	Explanation(String requestId) {
+		this.requestId = requestId;
+	}
+
+	/**
+	 * Takes a line of a log.
+	 * @param source where it stands, for messages
+	 * @param line the line; whatever stands before the first brace is ignored
+	 */
+	void add(String source, String line) {
+		int brace = line.indexOf('{');
+		if (brace < 0) {
+			return;
+		}
+		CollectingProblemListener listener = new CollectingProblemListener();
+		Optional<Entry> entry = new LocatedReader(MAX_LINE_BYTES, listener)
+			.read(line.substring(brace).getBytes(StandardCharsets.UTF_8))
+			.flatMap(Explanation::entry);
+		if (entry.isEmpty()) {
+			this.unreadable.add(source);
+			return;
+		}
+		this.entries.add(entry.get());
+	}
+
+	/**
+	 * Tells the story.
+	 * @return its lines; the last one is the cause
+	 */
+	List<String> tell() {
+		this.entries.sort(Comparator.comparingLong(Entry::at));
+		List<String> lines = new ArrayList<>();
+		for (Entry entry : this.entries) {
+			if (!entry.concerns(this.requestId)) {
+				entry.subject().ifPresent((subject) -> this.beliefs.put(entry.vm() + " " + subject, entry));
+				continue;
+			}
+			if (this.story.isEmpty()) {
+				lines.add("request " + this.requestId);
+			}
+			this.story.add(entry);
+			lines.add(line(entry));
+			belief(entry).ifPresent((belief) -> lines.add(
+					"             known then: " + describe(belief) + ", " + (entry.at() - belief.at()) + " ms before"));
+		}
+		if (!this.unreadable.isEmpty()) {
+			lines.add(this.unreadable.size() + " lines could not be read, the first one at "
+					+ this.unreadable.getFirst());
+		}
+		lines.add("cause: " + cause());
+		return lines;
+	}
+
+	boolean isFound() {
+		return !this.story.isEmpty();
+	}
+
+	private Optional<Entry> belief(Entry entry) {
+		String target = entry.fields().get(TARGET);
+		return (target == null) ? Optional.empty()
+				: Optional.ofNullable(this.beliefs.get(entry.vm() + " " + TARGET + " " + target));
+	}
+
+	private String cause() {
+		Optional<Entry> last = this.story.stream()
+			.filter((entry) -> this.requestId.equals(entry.fields().get(REQUEST)) && entry.isEnd())
+			.reduce((former, latter) -> latter);
+		if (last.isEmpty()) {
+			return this.story.isEmpty() ? "no log has this request; successful requests are only sampled"
+					: "no entry's end of this request is in these logs";
+		}
+		Map<String, String> fields = last.get().fields();
+		String call = this.story.stream()
+			.filter((entry) -> !this.requestId.equals(entry.fields().get(REQUEST)) && entry.isFailure())
+			.map((entry) -> ", after a call of its target to "
+					+ entry.fields().getOrDefault("service", "another service") + " ended with "
+					+ entry.fields().getOrDefault("reason", "an error"))
+			.findFirst()
+			.orElse("");
+		String after = " after " + fields.get("after_ms") + " ms";
+		return switch (last.get().event()) {
+			case "request_refused" -> "refused without having run" + after + ": " + fields.get("reason")
+					+ " (targets tried: " + fields.getOrDefault("tried", "0") + ")";
+			case "request_failed" -> "failed with status " + fields.get("status") + after + " and may have run: "
+					+ fields.get("reason") + " (targets reached: " + fields.get("reached") + ")";
+			case "request_cancelled" -> "the caller left" + after;
+			default -> "answered with status " + fields.get("status") + after
+					+ ("true".equals(fields.get("late")) ? ", late" : "") + call;
+		};
+	}
+
+	private String line(Entry entry) {
+		return String.format("%+8d ms  %-24s %s", entry.at() - this.story.getFirst().at(), entry.vm(), describe(entry));
+	}
+
+	private static String describe(Entry entry) {
+		return entry.event() + entry.fields()
+			.entrySet()
+			.stream()
+			.map((field) -> " " + field.getKey() + "=" + field.getValue())
+			.collect(Collectors.joining());
+	}
+
+	private static Optional<Entry> entry(LocatedNode root) {
+		if (!(root instanceof LocatedNode.ObjectNode object)
+				|| !(object.members().get("ts") instanceof LocatedNode.IntegerNode time)
+				|| !(object.members().get("event") instanceof LocatedNode.TextNode event)) {
+			return Optional.empty();
+		}
+		Map<String, String> fields = new LinkedHashMap<>();
+		object.members().forEach((name, value) -> fields.put(name, text(value)));
+		String vm = fields.getOrDefault("vm", "");
+		fields.keySet().removeAll(List.of("ts", "event", "vm"));
+		return Optional.of(new Entry(time.value(), vm, event.value(), fields));
+	}
+
+	private static String text(LocatedNode value) {
+		return switch (value) {
+			case LocatedNode.TextNode text -> text.value();
+			case LocatedNode.IntegerNode number -> Long.toString(number.value());
+			case LocatedNode.BooleanNode flag -> Boolean.toString(flag.value());
+			case LocatedNode.OtherNode other -> other.text();
+			case LocatedNode.ArrayNode array -> "[...]";
+			case LocatedNode.ObjectNode object -> "{...}";
+		};
+	}
+
+	/**
+	 * A line of a log.
+	 *
+	 * @param at its time in Unix milliseconds
+	 * @param vm the node that wrote it
+	 * @param event what it tells
+	 * @param fields its other fields in order
+	 */
+	private record Entry(long at, String vm, String event, Map<String, String> fields) {
+
+		boolean concerns(String id) {
+			String request = this.fields.getOrDefault(REQUEST, "");
+			return request.equals(id) || request.startsWith(id + ".");
+		}
+
+		boolean isEnd() {
+			return isFailure() || this.event.equals("request_done") || this.event.equals("request_cancelled");
+		}
+
+		boolean isFailure() {
+			return this.event.equals("request_refused") || this.event.equals("request_failed");
+		}
+
+		/**
+		 * Returns what a change of belief is about.
+		 * @return the target, or empty when this is no change of belief about one
+		 */
+		Optional<String> subject() {
+			boolean ofTarget = this.event.startsWith("target_") && this.fields.containsKey(TARGET);
+			return ofTarget ? Optional.of(TARGET + " " + this.fields.get(TARGET)) : Optional.empty();
+		}
+
+	}
+
+}
--- a/cli/src/main/java/org/eelgrasspitch/cli/Main.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Main.java
@@ -59,6 +59,7 @@
 		commands.put("status", new StatusCommand());
 		commands.put("wait", new WaitCommand());
 		commands.put("report", new ReportCommand());
+		commands.put("explain", new ExplainCommand());
 		commands.put("node", new NodeCommand());
 		commands.put("demo", new DemoCommand());
 		commands.put("measure", new MeasureCommand());
--- /dev/null
+++ b/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
@@ -0,0 +1,77 @@
+package org.eelgrasspitch.cli;
+
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Explains requests from lines as nodes print them.
+ */
+public class ExplanationTests {
+
+	private static final String SEEN = "{\"ts\":1000,\"vm\":\"a-1\",\"event\":\"target_seen\",\"target\":\"i-1\","
+			+ "\"service\":\"s\",\"slots\":9}";
+
+	private static final String FAILED = "{\"ts\":2010,\"vm\":\"b-1\",\"event\":\"call_failed\",\"request\":\"q1\","
+			+ "\"target\":\"i-1\",\"reason\":\"target_broke_off\",\"may_have_run\":true,\"after_ms\":8}";
+
+	private static final String ENDED = "  3.1 a-1 {\"ts\":2012,\"vm\":\"a-1\",\"event\":\"request_failed\","
+			+ "\"request\":\"q1\",\"status\":502,\"reason\":\"target_broke_off\",\"reached\":1,\"after_ms\":12}";
+
+	private static final String OTHER = "{\"ts\":2011,\"vm\":\"a-1\",\"event\":\"request_done\",\"request\":\"q11\"}";
+
+	@Test
+	public void tellsBothHopsInOrderOfTimeWithTheCause() {
+		List<String> told = tell("q1", ENDED, FAILED, SEEN, OTHER);
+		Assert.assertEquals(told.size(), 4, told.toString());
+		Assert.assertTrue(told.get(1).contains("b-1") && told.get(1).contains("call_failed"), told.get(1));
+		Assert.assertEquals(told.getLast(),
+				"cause: failed with status 502 after 12 ms and may have run: target_broke_off (targets reached: 1)");
+	}
+
+	@Test
+	public void namesTheCallThatFailedARequest() {
+		List<String> told = tell("q2",
+				"{\"ts\":1,\"vm\":\"a\",\"event\":\"request_refused\",\"request\":\"q2.7\",\"service\":\"ledger\","
+						+ "\"reason\":\"overloaded\",\"tried\":2,\"after_ms\":3}",
+				"{\"ts\":2,\"vm\":\"b\",\"event\":\"request_done\",\"request\":\"q2\",\"status\":500,\"late\":false,"
+						+ "\"after_ms\":90}");
+		Assert.assertEquals(told.getLast(),
+				"cause: answered with status 500 after 90 ms, after a call of its target to "
+						+ "ledger ended with overloaded");
+	}
+
+	@Test
+	public void saysWhatWasKnownOfTheTarget() {
+		List<String> told = tell("q3", SEEN, "{\"ts\":1400,\"vm\":\"a-1\",\"event\":\"request_retried\","
+				+ "\"request\":\"q3\",\"target\":\"i-1\",\"reason\":\"overloaded\"}");
+		Assert.assertTrue(told.get(2).contains("known then: target_seen") && told.get(2).contains("400 ms before"),
+				told.toString());
+		Assert.assertEquals(told.getLast(), "cause: no entry's end of this request is in these logs");
+	}
+
+	@Test
+	public void worksOnHalfOfTheLogsAndNamesBrokenLines() {
+		List<String> told = tell("q1", ENDED, "{\"ts\":2000,\"vm\":\"b-1\",\"eve", "SLF4J: plain text");
+		Assert.assertTrue(told.contains("1 lines could not be read, the first one at log:2"), told.toString());
+		Assert.assertTrue(told.getLast().startsWith("cause: failed with status 502"), told.toString());
+	}
+
+	@Test
+	public void saysWhenNoLogHasTheRequest() {
+		Explanation explanation = new Explanation("q9");
+		explanation.add("log:1", SEEN);
+		Assert.assertTrue(explanation.tell().getLast().contains("only sampled"));
+		Assert.assertFalse(explanation.isFound());
+	}
+
+	private static List<String> tell(String request, String... lines) {
+		Explanation explanation = new Explanation(request);
+		for (int i = 0; i < lines.length; i++) {
+			explanation.add("log:" + (i + 1), lines[i]);
+		}
+		return explanation.tell();
+	}
+
+}
