Stop requests that crash whatever runs them, at every node

Ruled out: counting every broken connection (an answer that is lost looks alike). Change: a home whose target has closed all connections in the middle of a call tries one; if that fails the call has crashed the target, its entry tells all peers, and after three targets the request is refused at every node.

--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -35,9 +35,26 @@
 	/** Most fingerprints remembered; the oldest are forgotten first. */
 	public static final int MAX_FINGERPRINTS = 10_000;
 
+	private final int deaths;
+
 	/** What is known of each fingerprint, the oldest first. */
 	private final Map<Digest, Suspect> suspects = new LinkedHashMap<>();
 
+	/**
+	 * Creates a memory that quarantines after {@link #DEATHS} deaths.
+	 */
+	public Quarantine() {
+		this(DEATHS);
+	}
+
+	/**
+	 * Creates a memory.
+	 * @param deaths deaths of distinct targets that quarantine a request
+	 */
+	public Quarantine(int deaths) {
+		this.deaths = deaths;
+	}
+
 	/**
 	 * Notes that a target died with a request in flight.
 	 * @param fingerprint the request's fingerprint
@@ -61,7 +78,7 @@
 	public boolean isQuarantined(Digest fingerprint, long now) {
 		forget(now);
 		Suspect suspect = this.suspects.get(fingerprint);
-		return suspect != null && suspect.targets().size() >= DEATHS;
+		return suspect != null && suspect.targets().size() >= this.deaths;
 	}
 
 	/**
@@ -71,7 +88,10 @@
 	 */
 	public int count(long now) {
 		forget(now);
-		return (int) this.suspects.values().stream().filter((suspect) -> suspect.targets().size() >= DEATHS).count();
+		return (int) this.suspects.values()
+			.stream()
+			.filter((suspect) -> suspect.targets().size() >= this.deaths)
+			.count();
 	}
 
 	private void forget(long now) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.eelgrasspitch.mesh.AttemptBudget;
 import org.eelgrasspitch.mesh.CallerLimits;
@@ -14,6 +15,7 @@
 import org.eelgrasspitch.mesh.Placement;
 import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.misc.Digest;
 
 /**
  * What all requests of this entry share: the documents in force, the links, the choice of
@@ -232,6 +234,25 @@
 		this.displaced.put(target, this.fabric.now() + DISPLACED_MILLIS);
 	}
 
+	/**
+	 * Notes that a target died while it ran a request.
+	 * @param fingerprint the request's fingerprint
+	 * @param target identifier of the target
+	 */
+	void crashed(Digest fingerprint, String target) {
+		this.links.crashed(fingerprint, target);
+	}
+
+	/**
+	 * Tells whether a request has crashed too many targets.
+	 * @param fingerprint computes the request's fingerprint
+	 * @return true when it is to be refused
+	 */
+	boolean isQuarantined(Supplier<Digest> fingerprint) {
+		long now = this.fabric.now();
+		return this.links.quarantine().count(now) > 0 && this.links.quarantine().isQuarantined(fingerprint.get(), now);
+	}
+
 	private boolean isDisplaced(String target) {
 		Long until = this.displaced.get(target);
 		return until != null && this.fabric.now() < until;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.proxy;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -23,6 +25,7 @@
 import org.eelgrasspitch.mesh.HomeLoad;
 import org.eelgrasspitch.mesh.MeshRoute;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.ProxyMetrics.Outcome;
 
 /**
@@ -55,6 +58,9 @@
 	 */
 	private static final double RETURN_SPREAD = 0.5;
 
+	/** When a caller whose request crashes targets may come back, in milliseconds. */
+	private static final int QUARANTINE_RETURN_MILLIS = 2_000;
+
 	/** Time for the answer to reach the caller before it stops waiting. */
 	private static final long ANSWER_MILLIS = 15;
 
@@ -263,6 +269,11 @@
 		if (this.ended) {
 			return;
 		}
+		if (this.service.isQuarantined(this::fingerprint)) {
+			this.returnMillis = QUARANTINE_RETURN_MILLIS;
+			unavailable("quarantined");
+			return;
+		}
 		long now = this.service.fabric().now();
 		Optional<TargetEntry> target = this.service.choose(this.route.name(), this.destination, this.tried,
 				this.objectiveAt - now);
@@ -308,6 +319,9 @@
 	private void attemptFailed(Attempt failed, CallFailure failure) {
 		this.attempt = null;
 		this.lastReason = failure.reason();
+		if (failure.reason() == FailureReason.TARGET_CRASHED && !this.streamed) {
+			this.service.crashed(fingerprint(), failed.target.id());
+		}
 		if (failure.reason() == FailureReason.WRONG_TARGET) {
 			this.service.displaced(failed.target.id());
 		}
@@ -334,6 +348,20 @@
 		giveUp();
 	}
 
+	/**
+	 * Recognises the same request when it comes again, at any node: by its path, its body
+	 * and the service where it began.
+	 * @return the fingerprint
+	 */
+	private Digest fingerprint() {
+		ByteArrayOutputStream content = new ByteArrayOutputStream();
+		String head = this.request.method() + ' ' + this.request.host() + this.request.uri() + ' '
+				+ this.service.fabric().settings().service() + '\n';
+		content.writeBytes(head.getBytes(StandardCharsets.UTF_8));
+		this.body.forEach(content::writeBytes);
+		return Digest.of(content.toByteArray());
+	}
+
 	private boolean mayRepeat(CallFailure failure) {
 		if (this.streamed || (failure.mayHaveRun() && !this.route.idempotent())) {
 			return false;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
@@ -25,6 +25,9 @@
 	/** The target ended the connection before the answer was complete. */
 	TARGET_BROKE_OFF,
 
+	/** The target broke off and takes no connections any more. */
+	TARGET_CRASHED,
+
 	/** The target sent something that is not its answer to this request. */
 	TARGET_GARBLED,
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -3,12 +3,16 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import org.eelgrasspitch.mesh.Directory;
 import org.eelgrasspitch.mesh.HomeLoad;
 import org.eelgrasspitch.mesh.HomeQueue;
@@ -38,6 +42,9 @@
 	/** How often a target that is down is tried. */
 	private static final long TRIAL_MILLIS = 400;
 
+	/** How long to wait for the connection that shows whether a target lives. */
+	private static final int CRASH_TRIAL_MILLIS = 200;
+
 	/** When a caller of a target that is down, or leaving, may come back. */
 	private static final int DOWN_RETURN_MILLIS = 500;
 
@@ -61,6 +68,9 @@
 
 	private final HomeQueue<HomeCall> queue = new HomeQueue<>();
 
+	/** Open connections to the target, idle or not. */
+	private final Set<TargetConnection> open = new HashSet<>();
+
 	private final ServiceTimes times = new ServiceTimes();
 
 	/** Idle connections, the most recently used first. */
@@ -222,7 +232,12 @@
 		this.idle.push(connection);
 	}
 
+	void opened(TargetConnection connection) {
+		this.open.add(connection);
+	}
+
 	void closed(TargetConnection connection) {
+		this.open.remove(connection);
 		this.idle.remove(connection);
 	}
 
@@ -234,6 +249,37 @@
 		return this.fabric.now();
 	}
 
+	/**
+	 * The target ended a connection in the middle of a call. If it has closed all its
+	 * connections, the home finds out whether it still lives before it tells the entry,
+	 * since a request that crashes its target must not be sent to many more.
+	 * @param call the call
+	 */
+	void brokeOff(HomeCall call) {
+		if (!this.open.isEmpty() || this.down) {
+			failed(call, this.down ? FailureReason.TARGET_CRASHED : FailureReason.TARGET_BROKE_OFF);
+			return;
+		}
+		this.bootstrap.clone()
+			.handler(TargetConnection.initializer(this))
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CRASH_TRIAL_MILLIS)
+			.connect(this.fabric.settings().targetAddress())
+			.addListener((future) -> {
+				if (future.isSuccess()) {
+					((ChannelFuture) future).channel().pipeline().get(TargetConnection.class).release();
+					failed(call, FailureReason.TARGET_BROKE_OFF);
+					return;
+				}
+				wentDown();
+				failed(call, FailureReason.TARGET_CRASHED);
+			});
+	}
+
+	private void failed(HomeCall call, FailureReason reason) {
+		fail(call, reason, true, true);
+		finished(call, false);
+	}
+
 	void fail(HomeCall call, FailureReason reason, boolean reached, boolean mayHaveRun) {
 		this.fabric.log()
 			.log(LogEvent.CALL_FAILED, "request", call.head().requestId(), "target", call.head().target(), "reason",
@@ -323,7 +369,7 @@
 	private void connect(HomeCall call) {
 		InetSocketAddress address = this.fabric.settings().targetAddress();
 		this.bootstrap.clone().handler(TargetConnection.initializer(this)).connect(address).addListener((future) -> {
-			Channel channel = ((io.netty.channel.ChannelFuture) future).channel();
+			Channel channel = ((ChannelFuture) future).channel();
 			connected(call, future.isSuccess() ? channel.pipeline().get(TargetConnection.class) : null);
 		});
 	}
@@ -372,7 +418,7 @@
 				}
 				this.down = false;
 				this.fabric.log().log(LogEvent.TARGET_UP, "address", this.fabric.settings().targetAddress());
-				((io.netty.channel.ChannelFuture) future).channel().pipeline().get(TargetConnection.class).release();
+				((ChannelFuture) future).channel().pipeline().get(TargetConnection.class).release();
 				this.stateListener.run();
 			});
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -15,6 +15,7 @@
 import org.apache.thrift.TException;
 import org.eelgrasspitch.mesh.HomeLoad;
 import org.eelgrasspitch.misc.Addresses;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.generated.LinkBeat;
 import org.eelgrasspitch.proxy.generated.LinkCall;
 import org.eelgrasspitch.proxy.generated.LinkCredit;
@@ -180,6 +181,8 @@
 			case DATA -> data(message.getData());
 			case CREDIT -> credited(message.getCredit());
 			case START_ASKED -> startAsked(message.getStartAsked().getStream());
+			case DEATH ->
+				this.links.died(Digest.of(message.getDeath().getFingerprint(), 0), message.getDeath().getTarget());
 			case START -> started(message.getStart().getStream());
 			case CANCEL -> cancelled(message.getCancel().getStream());
 			case REPLY -> replied(message.getReply().getStream(), LinkFrames.reply(message.getReply()));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -18,9 +19,12 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.generated.LinkBeat;
+import org.eelgrasspitch.proxy.generated.LinkDeath;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
 import org.eelgrasspitch.proxy.generated.LinkPull;
+import org.eelgrasspitch.request.Quarantine;
 
 /**
  * The links to all peers: a peer is the node on the VM of a published target.
@@ -41,6 +45,12 @@
 	/** A link that has been silent for longer than a heartbeat is passed over. */
 	static final long DOUBT_MILLIS = 800;
 
+	/**
+	 * Targets that a request may crash before it is refused: a popular request may be in
+	 * progress at a target that dies of something else, but hardly three times.
+	 */
+	private static final int DEATHS = 3;
+
 	/** How often missing links are looked for. */
 	private static final long DIAL_MILLIS = 300;
 
@@ -68,6 +78,9 @@
 	/** Since when each wanted peer has had no link. */
 	private final Map<InetAddress, Long> missingSince = new HashMap<>();
 
+	/** Requests that crash what runs them, as far as this node and its peers know. */
+	private final Quarantine quarantine = new Quarantine(DEATHS);
+
 	private View view = View.EMPTY;
 
 	/** Since when some peer has been ahead, by channel; 0 while none is. */
@@ -181,6 +194,25 @@
 		}
 	}
 
+	/**
+	 * Notes that a target died while it ran a request, and tells all peers.
+	 * @param fingerprint the request's fingerprint
+	 * @param target identifier of the target
+	 */
+	void crashed(Digest fingerprint, String target) {
+		died(fingerprint, target);
+		LinkMessage death = LinkMessage.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), target));
+		this.byPeer.values().stream().filter(Link::isOpen).forEach((link) -> link.send(death));
+	}
+
+	void died(Digest fingerprint, String target) {
+		this.quarantine.died(fingerprint, target, this.fabric.now());
+	}
+
+	Quarantine quarantine() {
+		return this.quarantine;
+	}
+
 	void pulled(Link link, SourceChannel channel, long since) {
 		this.documents.since(channel, since, (delta) -> this.fabric.loop().execute(() -> {
 			if (link.isOpen()) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -109,6 +109,11 @@
 		this.idleSince = this.home.now();
 	}
 
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.home.opened(this);
+	}
+
 	boolean isUsable(long now) {
 		return this.channel.isActive() && this.reusable && idleMillis(now) < this.idleLimit - IDLE_MARGIN_MILLIS;
 	}
@@ -330,6 +335,11 @@
 		if (current == null || current.isEnded()) {
 			return;
 		}
+		if (reason == FailureReason.TARGET_BROKE_OFF) {
+			this.home.closed(this);
+			this.home.brokeOff(current);
+			return;
+		}
 		this.home.fail(current, reason, true, true);
 		this.home.finished(current, false);
 	}
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -117,6 +117,12 @@
   5: required list<string> removed
 }
 
+// A target died while it ran a request.
+struct LinkDeath {
+  1: required binary fingerprint
+  2: required string target
+}
+
 union LinkMessage {
   1: LinkHello hello
   2: LinkBeat beat
@@ -130,4 +136,5 @@
   10: LinkDocument document
   11: LinkStartAsked startAsked
   12: LinkStart start
+  13: LinkDeath death
 }
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -43,6 +43,8 @@
 
 	private int cutOff;
 
+	private int deadlyStarts;
+
 	@After
 	public void close() {
 		if (this.world != null) {
@@ -52,6 +54,7 @@
 
 	@Given("servers with their nodes at {}")
 	public void servers(String vms) throws IOException {
+		close();
 		this.world = new PlatformWorld();
 		this.world.publish("", "");
 		for (String vm : vms.split(" ")) {
@@ -320,6 +323,22 @@
 		Assert.assertTrue(metrics.lines().anyMatch(line::equals), metrics);
 	}
 
+	@When("a requester at {word} sends GET {word} {int} times while crashed servers come back")
+	public void deadly(String vm, String path, int times) throws IOException {
+		int before = this.world.startsOf(path);
+		for (int i = 0; i < times; i++) {
+			statusOf(vm, path);
+			this.world.revive();
+			pause(700);
+		}
+		this.deadlyStarts = this.world.startsOf(path) - before;
+	}
+
+	@Then("no further server crashed")
+	public void noneCrashed() {
+		Assert.assertEquals(this.deadlyStarts, 0);
+	}
+
 	@Then("none of its requests was cut off")
 	public void noneCutOff() {
 		Assert.assertEquals(this.cutOff, 0);
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import org.eelgrasspitch.misc.Closer;
 import org.eelgrasspitch.platform.PlatformNode;
@@ -55,6 +56,9 @@
 
 	private final Map<String, ServerStandIn> servers = new LinkedHashMap<>();
 
+	/** Servers that have crashed and were started anew. */
+	private final List<ServerStandIn> formerServers = new ArrayList<>();
+
 	private final Map<String, ProxyNode> nodes = new LinkedHashMap<>();
 
 	private final Map<String, String> addresses = new LinkedHashMap<>();
@@ -98,6 +102,31 @@
 		this.servers.put(vm, this.closer.register(new ServerStandIn(id, address(vm, this.serverPort))));
 	}
 
+	/**
+	 * Starts the servers that have crashed.
+	 * @throws IOException if an address stays in use
+	 */
+	void revive() throws IOException {
+		for (String vm : List.copyOf(this.servers.keySet())) {
+			if (this.servers.get(vm).isClosed()) {
+				this.formerServers.add(this.servers.get(vm));
+				startServer(vm);
+			}
+		}
+	}
+
+	/**
+	 * Counts the requests for a path that reached any server, crashed ones included.
+	 * @param path the path
+	 * @return the number
+	 */
+	int startsOf(String path) {
+		return (int) Stream.concat(this.servers.values().stream(), this.formerServers.stream())
+			.flatMap((server) -> server.received().stream())
+			.filter((received) -> received.path().equals(path))
+			.count();
+	}
+
 	void startNode(String vm) {
 		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
 				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.metricsPort),
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -180,3 +180,11 @@
     And the metrics of desk-a say "eelgrasspitch_proxy_requests_total{outcome=\"failed\"} 1.0"
     And the metrics of desk-a say "eelgrasspitch_proxy_requests_total{outcome=\"refused\"} 1.0"
     And the metrics of desk-a say "eelgrasspitch_proxy_config_version 10.0"
+
+  Scenario: A request that crashes whatever runs it is stopped, at every node
+    Given servers with their nodes at desk-a desk-b desk-c desk-d pay-a
+    When a requester at pay-a sends GET /desk/crash 3 times while crashed servers come back
+    And a requester at desk-a sends GET /desk/ok
+    Then it gets status 200
+    When a requester at pay-a sends GET /desk/crash 4 times while crashed servers come back
+    Then no further server crashed
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -85,6 +85,14 @@
 		return this.mostRunning.get();
 	}
 
+	/**
+	 * Tells whether it was closed, or has crashed.
+	 * @return true when it takes no connections any more
+	 */
+	public boolean isClosed() {
+		return this.socket.isClosed();
+	}
+
 	/**
 	 * Returns how many requests run now.
 	 * @return the number
@@ -215,6 +223,10 @@
 			case "lost" -> {
 				return false;
 			}
+			case "crash" -> {
+				close();
+				return false;
+			}
 			case "long" -> write(output, "200 OK", own, "x".repeat(LONG_BODY));
 			case "chunked" -> raw(output, "HTTP/1.1 200 OK\r\n" + own
 					+ "Transfer-Encoding: chunked\r\n\r\n4\r\nfrom\r\n2\r\n t\r\n0\r\n\r\n");
