--- /dev/null
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/ProxySettingsParserTests.java
@@ -0,0 +1,50 @@
+package org.eelgrasspitch.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.eelgrasspitch.misc.Problem;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Settings of the streaming proxy: good ones, unknown keys, and every problem at once.
+ */
+public class ProxySettingsParserTests {
+
+	private static final String GOOD = """
+			// a comment
+			{"vm": "a-1", "failureDomain": "a", "service": "desk", "entryAddress": "10.0.0.1:1",
+			"readinessAddress": "10.0.0.1:2", "linkAddress": "10.0.0.1:3", "metricsAddress": "10.0.0.1:4",
+			"targetAddress": "10.0.0.1:5", "sourceAddress": "10.0.0.9:6", "drainSeconds": 2.5, "stopSeconds": 6,
+			"retryRatio": 0.2, "retryMinimum": 56, "retryWindowSeconds": 10, "fromTheFuture": [1]}""";
+
+	@Test
+	public void readsDurationsAndIgnoresWhatItDoesNotKnow() {
+		ProxySettings settings = parse(GOOD).get();
+		Assert.assertEquals(settings.drainMillis(), 2_500);
+		Assert.assertEquals(settings.retryWindowMillis(), 10_000);
+		Assert.assertEquals(settings.linkAddress().getPort(), 3);
+	}
+
+	@Test
+	public void reportsEveryProblem() {
+		List<Problem> problems = parse(GOOD.replace("\"10.0.0.1:1\"", "\"nowhere\"")
+			.replace("\"retryRatio\": 0.2", "\"retryRatio\": 7")
+			.replace("\"service\": \"desk\", ", "")).getLeft();
+		Assert.assertEquals(problems.size(), 3, problems.toString());
+	}
+
+	@Test
+	public void refusesWhatIsNoJson() {
+		Assert.assertTrue(parse("vm: a-1").isLeft());
+		Assert.assertTrue(ProxySettingsParser.read(Path.of("no-such-file")).isLeft());
+	}
+
+	private static Either<List<Problem>, ProxySettings> parse(String text) {
+		return ProxySettingsParser.parse(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+}
