--- a/cli/src/main/java/org/eelgrasspitch/cli/Explanation.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Explanation.java
@@ -98,8 +98,10 @@
 
 	private Optional<Entry> belief(Entry entry) {
 		String target = entry.fields().get(TARGET);
-		return (target == null) ? Optional.empty()
-				: Optional.ofNullable(this.beliefs.get(entry.vm() + " " + TARGET + " " + target));
+		if (target == null) {
+			return Optional.empty();
+		}
+		return Optional.ofNullable(this.beliefs.get(entry.vm() + " " + TARGET + " " + target));
 	}
 
 	private String cause() {
@@ -118,7 +120,7 @@
 					+ entry.fields().getOrDefault("reason", "an error"))
 			.findFirst()
 			.orElse("");
-		String after = " after " + fields.get("after_ms") + " ms";
+		String after = fields.containsKey("after_ms") ? (" after " + fields.get("after_ms") + " ms") : "";
 		return switch (last.get().event()) {
 			case "request_refused" -> "refused without having run" + after + ": " + fields.get("reason")
 					+ " (targets tried: " + fields.getOrDefault("tried", "0") + ")";
--- a/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
+++ b/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
@@ -58,6 +58,16 @@
 		Assert.assertTrue(told.getLast().startsWith("cause: failed with status 502"), told.toString());
 	}
 
+	@Test
+	public void namesARequestWithoutARoute() {
+		Assert.assertEquals(
+				tell("q4",
+						"{\"ts\":1,\"vm\":\"a\",\"event\":\"request_refused\",\"request\":\"q4\","
+								+ "\"status\":404,\"reason\":\"no route\",\"host\":\"h\",\"uri\":\"/x\"}")
+					.getLast(),
+				"cause: refused without having run: no route (targets tried: 0)");
+	}
+
 	@Test
 	public void saysWhenNoLogHasTheRequest() {
 		Explanation explanation = new Explanation("q9");
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
@@ -0,0 +1,244 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.eelgrasspitch.mesh.HomeLoad;
+import org.eelgrasspitch.mesh.TargetEntry;
+
+/**
+ * One send of a request to one target. What arrives after the exchange has turned to
+ * another target, or has ended, is ignored.
+ */
+final class Attempt implements CallSink {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final Exchange exchange;
+
+	private final TargetEntry target;
+
+	private final long sentAt;
+
+	/** Parts of the answer that are held until it is complete. */
+	private final List<byte[]> held = new ArrayList<>();
+
+	private int heldBytes;
+
+	/** Where the rest of the call goes; null until it was opened. */
+	private CallFlow flow;
+
+	/** The answer's head; null before it arrived. */
+	private ReplyHead reply;
+
+	private int bodyCredit = WINDOW_BYTES;
+
+	private int nextPart;
+
+	/** Whether the home may start the request. */
+	private boolean permitted;
+
+	/** Whether the home asked before it was known where the rest of the call goes. */
+	private boolean askedEarly;
+
+	private boolean lastSent;
+
+	Attempt(Exchange exchange, TargetEntry target, long sentAt) {
+		this.exchange = exchange;
+		this.target = target;
+		this.sentAt = sentAt;
+	}
+
+	TargetEntry target() {
+		return this.target;
+	}
+
+	long sentAt() {
+		return this.sentAt;
+	}
+
+	/**
+	 * Returns the answer's head.
+	 * @return the head, or null before it arrived
+	 */
+	ReplyHead reply() {
+		return this.reply;
+	}
+
+	void cancel() {
+		if (this.flow != null) {
+			this.flow.cancel();
+		}
+	}
+
+	/**
+	 * The connection has written a part of the answer.
+	 * @param bytes its length
+	 */
+	void written(int bytes) {
+		if (this.flow != null) {
+			this.flow.credit(bytes);
+		}
+	}
+
+	void use(CallFlow opened) {
+		if (!isCurrent()) {
+			return;
+		}
+		if (opened == null) {
+			failed(CallFailure.notSent(FailureReason.LINK_DOWN, 0, HomeLoad.UNKNOWN));
+			return;
+		}
+		this.flow = opened;
+		pump();
+		if (this.askedEarly && isCurrent()) {
+			startAsked();
+		}
+	}
+
+	void pump() {
+		if (this.flow == null || this.lastSent || !this.exchange.request().hasBody()) {
+			return;
+		}
+		RequestBody body = this.exchange.body();
+		while (this.nextPart < body.kept().size()) {
+			byte[] part = body.kept().get(this.nextPart++);
+			sendPart(part, this.nextPart == body.kept().size());
+		}
+		while (this.bodyCredit > 0 && !body.unsent().isEmpty()) {
+			sendPart(body.unsent().poll(), true);
+		}
+		if (!this.lastSent && body.isComplete() && body.unsent().isEmpty()) {
+			this.lastSent = true;
+			this.flow.data(new byte[0], true);
+		}
+		this.exchange.readOn();
+	}
+
+	private void sendPart(byte[] part, boolean newest) {
+		RequestBody body = this.exchange.body();
+		this.lastSent = newest && body.isComplete() && body.unsent().isEmpty();
+		this.bodyCredit -= part.length;
+		this.flow.data(part, this.lastSent);
+	}
+
+	/**
+	 * Tells whether this attempt cannot have run: the home asks before it starts a
+	 * request that must not run twice.
+	 * @return true when permission to start was not given
+	 */
+	boolean hasSurelyNotRun() {
+		return !this.exchange.route().idempotent() && !this.permitted;
+	}
+
+	@Override
+	public void startAsked() {
+		if (isCurrent() && this.flow != null) {
+			this.permitted = true;
+			this.flow.start();
+			return;
+		}
+		this.askedEarly = isCurrent();
+	}
+
+	@Override
+	public void replied(ReplyHead head) {
+		if (!isCurrent()) {
+			return;
+		}
+		if (head.status() >= SERVER_ERROR && this.exchange.route().idempotent() && this.exchange.tryInstead()) {
+			return;
+		}
+		this.reply = head;
+		this.exchange.observed(this.target, head);
+	}
+
+	@Override
+	public void data(byte[] content, boolean last) {
+		if (!isCurrent()) {
+			return;
+		}
+		if (this.exchange.isAnswered()) {
+			pass(content);
+		}
+		else {
+			this.held.add(content);
+			this.heldBytes += content.length;
+			if (last || this.heldBytes >= WINDOW_BYTES) {
+				passHeld(last);
+			}
+		}
+		if (last) {
+			complete();
+		}
+	}
+
+	private void passHeld(boolean whole) {
+		DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(this.reply.status()));
+		Headers.add(this.reply.headers(), response.headers());
+		frame(response, whole);
+		this.exchange.emit(response, 0);
+		this.held.forEach(this::pass);
+		this.held.clear();
+	}
+
+	private void frame(HttpResponse response, boolean whole) {
+		if (HttpResponseStatus.NO_CONTENT.code() == this.reply.status()
+				|| HttpResponseStatus.NOT_MODIFIED.code() == this.reply.status()) {
+			return;
+		}
+		boolean head = "HEAD".equals(this.exchange.request().method());
+		long length = (whole && !head) ? this.heldBytes : this.reply.bodyLength();
+		if (length >= 0) {
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+			return;
+		}
+		if (!head) {
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
+	}
+
+	private void pass(byte[] content) {
+		if (content.length > 0) {
+			this.exchange.emit(new DefaultHttpContent(Unpooled.wrappedBuffer(content)), content.length);
+		}
+	}
+
+	private void complete() {
+		this.exchange.emit(LastHttpContent.EMPTY_LAST_CONTENT, 0);
+		this.exchange.completed(this);
+	}
+
+	@Override
+	public void credit(int bytes) {
+		this.bodyCredit += bytes;
+		if (isCurrent()) {
+			pump();
+		}
+	}
+
+	@Override
+	public void failed(CallFailure failure) {
+		if (!isCurrent()) {
+			return;
+		}
+		boolean lost = failure.reason() == FailureReason.LINK_LOST;
+		this.exchange.attemptFailed(this, (lost && hasSurelyNotRun())
+				? CallFailure.notSent(FailureReason.LINK_LOST, 0, HomeLoad.UNKNOWN) : failure);
+	}
+
+	private boolean isCurrent() {
+		return this.exchange.isCurrent(this);
+	}
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerRequest.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerRequest.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.proxy;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -11,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.eelgrasspitch.misc.Digest;
 
 /**
  * A caller's request without its body.
@@ -55,6 +58,21 @@
 				readable ? Optional.empty() : Optional.of(HttpResponseStatus.BAD_REQUEST));
 	}
 
+	/**
+	 * Recognises the same request when it comes again, at any node: by its path, its body
+	 * and the service where it began.
+	 * @param service the service that runs on the VM where it began
+	 * @param body its body
+	 * @return the fingerprint
+	 */
+	Digest fingerprint(String service, RequestBody body) {
+		ByteArrayOutputStream content = new ByteArrayOutputStream();
+		String head = this.method + ' ' + this.host + this.uri + ' ' + service + '\n';
+		content.writeBytes(head.getBytes(StandardCharsets.UTF_8));
+		content.writeBytes(body.keptContent());
+		return Digest.of(content.toByteArray());
+	}
+
 	boolean hasBody() {
 		return this.bodyLength == CallHead.CHUNKED || this.bodyLength > 0;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -1,25 +1,13 @@
 package org.eelgrasspitch.proxy;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.eelgrasspitch.mesh.HomeLoad;
@@ -49,15 +37,6 @@
 	/** Longest time to wait for a link to open. */
 	private static final long LINK_WAIT_MILLIS = 400;
 
-	/** When a caller may come back if nobody knows better, in milliseconds. */
-	private static final int DEFAULT_RETURN_MILLIS = 300;
-
-	/**
-	 * Part of the return time by which it is spread, so that callers do not return
-	 * together.
-	 */
-	private static final double RETURN_SPREAD = 0.5;
-
 	/** When a caller whose request crashes targets may come back, in milliseconds. */
 	private static final int QUARANTINE_RETURN_MILLIS = 2_000;
 
@@ -75,8 +54,6 @@
 
 	private static final int SERVER_ERROR = 500;
 
-	private static final double MILLIS_PER_SECOND = 1_000.0;
-
 	private final EntryService service;
 
 	private final CallerConnection connection;
@@ -85,18 +62,9 @@
 
 	private final long receivedAt;
 
-	/** The request's body so far, for the first send and for repeats. */
-	private final List<byte[]> body = new ArrayList<>();
-
-	private int bodyBytes;
-
-	private boolean bodyComplete;
-
-	/** True once parts of the body were passed on that are not kept. */
-	private boolean streamed;
+	private final RequestBody body;
 
-	/** Parts of the body that wait for permission to be sent. */
-	private final Deque<byte[]> unsent = new ArrayDeque<>();
+	private final RequestLog log;
 
 	private final Set<String> tried = new HashSet<>();
 
@@ -140,7 +108,8 @@
 		this.connection = connection;
 		this.request = request;
 		this.receivedAt = service.fabric().now();
-		this.bodyComplete = !request.hasBody();
+		this.body = new RequestBody(!request.hasBody());
+		this.log = new RequestLog(service.fabric().log(), request.id());
 		service.began();
 	}
 
@@ -149,7 +118,7 @@
 	}
 
 	boolean isComplete() {
-		return this.ended && this.bodyComplete;
+		return this.ended && this.body.isComplete();
 	}
 
 	/**
@@ -194,7 +163,7 @@
 		this.deadline = this.service.fabric()
 			.loop()
 			.schedule(this::expire, Math.max(0, this.deadlineAt - this.receivedAt), TimeUnit.MILLISECONDS);
-		if (isBodyReady()) {
+		if (this.body.isReady()) {
 			place();
 		}
 	}
@@ -205,16 +174,20 @@
 	 * @param last whether the body is complete
 	 */
 	void body(byte[] content, boolean last) {
-		this.bodyComplete = last;
-		if (this.ended) {
+		if (last) {
+			this.body.complete();
+		}
+		if (this.ended || this.route == null) {
 			return;
 		}
-		if (this.route == null) {
+		boolean waited = this.attempt == null && !this.body.isStreamed();
+		this.body.add(content);
+		if (this.body.allBytes() > this.service.limits().maxBodyBytes()) {
+			cancelAttempt();
+			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
 			return;
 		}
-		boolean waited = this.attempt == null && !this.streamed;
-		keep(content);
-		if (waited && isBodyReady()) {
+		if (waited && this.body.isReady()) {
 			place();
 			return;
 		}
@@ -228,43 +201,23 @@
 	 * @return true when too much of it waits
 	 */
 	boolean isClogged() {
-		return !this.ended && !this.unsent.isEmpty();
+		return !this.ended && !this.body.unsent().isEmpty();
 	}
 
 	/**
 	 * The caller has left.
 	 */
 	void callerGone() {
-		this.bodyComplete = true;
+		this.body.complete();
 		if (this.ended) {
 			return;
 		}
-		this.service.fabric()
-			.log()
-			.log(LogEvent.REQUEST_CANCELLED, "request", this.request.id(), "route", routeName(), "after_ms", age(),
-					"sent", this.attempt != null);
+		this.log.cancelled(routeName(), age(), this.attempt != null);
 		this.outcome = Outcome.CANCELLED;
 		cancelAttempt();
 		end();
 	}
 
-	private void keep(byte[] content) {
-		if (content.length == 0) {
-			return;
-		}
-		if (this.streamed || this.bodyBytes + content.length > CallSink.WINDOW_BYTES) {
-			this.streamed = true;
-			this.unsent.add(content);
-			return;
-		}
-		this.body.add(content);
-		this.bodyBytes += content.length;
-	}
-
-	private boolean isBodyReady() {
-		return this.bodyComplete || this.streamed;
-	}
-
 	private void place() {
 		if (this.ended) {
 			return;
@@ -300,18 +253,13 @@
 		CallHead head = new CallHead(this.request.id(), this.route.name(), target.id(), this.request.method(),
 				this.request.uri(), this.request.headers(), this.deadlineAt, homeObjectiveAt(), this.rank,
 				this.route.idempotent(), this.reached > 0, this.request.bodyLength());
-		Attempt started = new Attempt(target, now);
+		Attempt started = new Attempt(this, target, now);
 		this.attempt = started;
 		if (this.tried.size() == 1) {
 			this.service.firstSend(this.destination, this.rank == INTERNAL_RANK);
 		}
 		if (DecisionLog.isSampled(this.request.id())) {
-			this.service.fabric()
-				.log()
-				.log(LogEvent.REQUEST_PLACED, "request", this.request.id(), "route", this.route.name(), "rank",
-						this.rank, "target", target.id(), "targets_revision",
-						this.service.view().revisions()[SourceChannel.TARGETS.ordinal()], "left_ms",
-						this.deadlineAt - now);
+			this.log.placed(this.route, this.rank, target, this.service.view(), this.deadlineAt - now);
 		}
 		started.use(this.service.open(target, head, started));
 	}
@@ -326,14 +274,19 @@
 		return (this.rank == INTERNAL_RANK) ? this.deadlineAt : this.objectiveAt;
 	}
 
-	private void attemptFailed(Attempt failed, CallFailure failure) {
+	/**
+	 * An attempt has ended without an answer.
+	 * @param failed the attempt
+	 * @param failure how it ended
+	 */
+	void attemptFailed(Attempt failed, CallFailure failure) {
 		this.attempt = null;
 		this.lastReason = failure.reason();
-		if (failure.reason() == FailureReason.TARGET_CRASHED && !this.streamed) {
-			this.service.crashed(fingerprint(), failed.target.id());
+		if (failure.reason() == FailureReason.TARGET_CRASHED && !this.body.isStreamed()) {
+			this.service.crashed(fingerprint(), failed.target().id());
 		}
 		if (failure.reason() == FailureReason.WRONG_TARGET) {
-			this.service.displaced(failed.target.id());
+			this.service.displaced(failed.target().id());
 		}
 		this.mayHaveRun |= failure.mayHaveRun();
 		this.reached += failure.reachedTarget() ? 1 : 0;
@@ -347,33 +300,20 @@
 		}
 		if (mayRepeat(failure)) {
 			this.service.fabric().metrics().retried(failure.reason());
-			this.service.fabric()
-				.log()
-				.log(LogEvent.REQUEST_RETRIED, "request", this.request.id(), "route", this.route.name(), "target",
-						failed.target.id(), "reason", failure.reason().word(), "may_have_run", failure.mayHaveRun(),
-						"reached", this.reached, "repeats_left", this.service.repeatsLeft(this.destination));
+			this.log.retried(this.route, failed.target(), failure, this.reached,
+					this.service.repeatsLeft(this.destination));
 			place();
 			return;
 		}
 		giveUp();
 	}
 
-	/**
-	 * Recognises the same request when it comes again, at any node: by its path, its body
-	 * and the service where it began.
-	 * @return the fingerprint
-	 */
 	private Digest fingerprint() {
-		ByteArrayOutputStream content = new ByteArrayOutputStream();
-		String head = this.request.method() + ' ' + this.request.host() + this.request.uri() + ' '
-				+ this.service.fabric().settings().service() + '\n';
-		content.writeBytes(head.getBytes(StandardCharsets.UTF_8));
-		this.body.forEach(content::writeBytes);
-		return Digest.of(content.toByteArray());
+		return this.request.fingerprint(this.service.fabric().settings().service(), this.body);
 	}
 
 	private boolean mayRepeat(CallFailure failure) {
-		if (this.streamed || (failure.mayHaveRun() && !this.route.idempotent())) {
+		if (this.body.isStreamed() || (failure.mayHaveRun() && !this.route.idempotent())) {
 			return false;
 		}
 		if (!failure.reachedTarget()) {
@@ -395,7 +335,7 @@
 	}
 
 	private void expire() {
-		if (this.ended || (this.attempt != null && this.attempt.reply != null)) {
+		if (this.ended || (this.attempt != null && this.attempt.reply() != null)) {
 			return;
 		}
 		boolean unsentYet = !this.mayHaveRun && (this.attempt == null || this.attempt.hasSurelyNotRun());
@@ -410,48 +350,33 @@
 	private void cancelAttempt() {
 		Attempt current = this.attempt;
 		this.attempt = null;
-		if (current != null && current.flow != null) {
-			current.flow.cancel();
+		if (current != null) {
+			current.cancel();
 		}
 	}
 
 	private void unavailable(String reason) {
 		this.outcome = Outcome.REFUSED;
-		int base = (this.returnMillis > 0) ? this.returnMillis : DEFAULT_RETURN_MILLIS;
-		double spread = 1 + RETURN_SPREAD * (this.service.fabric().random().nextDouble() - RETURN_SPREAD);
-		long millis = Math.max(1, Math.round(base * spread));
-		this.service.fabric()
-			.log()
-			.log(LogEvent.REQUEST_REFUSED, "request", this.request.id(), "route", routeName(), "service",
-					String.valueOf(this.destination), "reason", reason, "tried", this.tried.size(), "after_ms", age(),
-					"return_ms", millis);
-		DefaultHttpResponse response = empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
-		response.headers().set(HttpHeaderNames.RETRY_AFTER, String.valueOf(millis / MILLIS_PER_SECOND));
-		answer(response);
+		long millis = OwnAnswer.returnMillis(this.returnMillis, this.service.fabric().random());
+		this.log.unavailable(routeName(), this.destination, reason, this.tried.size(), age(), millis);
+		answer(OwnAnswer.comeBack(millis, this.service.fabric().names(), this.request.id()));
 	}
 
 	private void refuse(HttpResponseStatus status, String reason) {
 		this.outcome = Outcome.REFUSED;
-		this.service.fabric()
-			.log()
-			.log(LogEvent.REQUEST_REFUSED, "request", this.request.id(), "status", status.code(), "reason", reason,
-					"host", this.request.host(), "uri", this.request.uri());
-		answer(empty(status));
+		this.log.refused(this.request, status, reason);
+		answer(OwnAnswer.of(status, this.service.fabric().names(), this.request.id()));
 	}
 
 	private void fail(HttpResponseStatus status) {
 		this.outcome = Outcome.FAILED;
-		this.service.fabric()
-			.log()
-			.log(LogEvent.REQUEST_FAILED, "request", this.request.id(), "route", routeName(), "status", status.code(),
-					"reason", (this.lastReason != null) ? this.lastReason.word() : "timeout", "reached", this.reached,
-					"after_ms", age(), "cut", this.answered);
+		this.log.failed(routeName(), status, this.lastReason, this.reached, age(), this.answered);
 		if (this.answered) {
 			end();
 			this.connection.cut();
 			return;
 		}
-		answer(empty(status));
+		answer(OwnAnswer.of(status, this.service.fabric().names(), this.request.id()));
 	}
 
 	private void answer(HttpResponse response) {
@@ -460,16 +385,12 @@
 		finish();
 	}
 
-	private DefaultHttpResponse empty(HttpResponseStatus status) {
-		DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-		if (!this.request.id().isEmpty()) {
-			response.headers().set(this.service.fabric().names().requestId(), this.request.id());
-		}
-		return response;
-	}
-
-	private void emit(HttpObject part, int creditBytes) {
+	/**
+	 * Hands a part of the answer to the connection.
+	 * @param part the part
+	 * @param creditBytes bytes of the body that it holds
+	 */
+	void emit(HttpObject part, int creditBytes) {
 		if (part instanceof HttpResponse response) {
 			this.answered = true;
 			this.connection.prepare(this, response);
@@ -489,7 +410,6 @@
 		this.ended = true;
 		this.service.fabric().metrics().requestEnded(this.outcome, age());
 		this.body.clear();
-		this.unsent.clear();
 		if (this.deadline != null) {
 			this.deadline.cancel(false);
 		}
@@ -501,228 +421,74 @@
 	 * @param bytes its length
 	 */
 	void written(int bytes) {
-		if (this.attempt != null && this.attempt.flow != null && bytes > 0) {
-			this.attempt.flow.credit(bytes);
+		if (this.attempt != null && bytes > 0) {
+			this.attempt.written(bytes);
 		}
 	}
 
-	private long age() {
-		return this.service.fabric().now() - this.receivedAt;
+	RequestBody body() {
+		return this.body;
 	}
 
-	private String routeName() {
-		return (this.route != null) ? this.route.name() : "";
+	MeshRoute route() {
+		return this.route;
 	}
 
-	/**
-	 * One send of the request to one target.
-	 */
-	private final class Attempt implements CallSink {
-
-		private final TargetEntry target;
+	boolean isAnswered() {
+		return this.answered;
+	}
 
-		private final long sentAt;
+	boolean isCurrent(Attempt candidate) {
+		return this.attempt == candidate && !this.ended;
+	}
 
-		/** Parts of the answer that are held until it is complete. */
-		private final List<byte[]> held = new ArrayList<>();
-
-		private int heldBytes;
-
-		/** Where the rest of the call goes; null until it was opened. */
-		private CallFlow flow;
-
-		/** The answer's head; null before it arrived. */
-		private ReplyHead reply;
-
-		private int bodyCredit = WINDOW_BYTES;
-
-		private int nextPart;
-
-		/** Whether the home may start the request. */
-		private boolean permitted;
-
-		/** Whether the home asked before it was known where the rest of the call goes. */
-		private boolean askedEarly;
-
-		private boolean lastSent;
-
-		Attempt(TargetEntry target, long sentAt) {
-			this.target = target;
-			this.sentAt = sentAt;
-		}
-
-		void use(CallFlow opened) {
-			if (!isCurrent()) {
-				return;
-			}
-			if (opened == null) {
-				failed(CallFailure.notSent(FailureReason.LINK_DOWN, 0, HomeLoad.UNKNOWN));
-				return;
-			}
-			this.flow = opened;
-			pump();
-			if (this.askedEarly && isCurrent()) {
-				startAsked();
-			}
-		}
-
-		void pump() {
-			if (this.flow == null || this.lastSent || !Exchange.this.request.hasBody()) {
-				return;
-			}
-			while (this.nextPart < Exchange.this.body.size()) {
-				byte[] part = Exchange.this.body.get(this.nextPart++);
-				sendPart(part, this.nextPart == Exchange.this.body.size());
-			}
-			while (this.bodyCredit > 0 && !Exchange.this.unsent.isEmpty()) {
-				sendPart(Exchange.this.unsent.poll(), Exchange.this.unsent.isEmpty());
-			}
-			if (!this.lastSent && Exchange.this.bodyComplete && Exchange.this.unsent.isEmpty()) {
-				this.lastSent = true;
-				this.flow.data(new byte[0], true);
-			}
-			Exchange.this.connection.readOn();
-		}
-
-		private void sendPart(byte[] part, boolean newest) {
-			this.lastSent = newest && Exchange.this.bodyComplete && Exchange.this.unsent.isEmpty();
-			this.bodyCredit -= part.length;
-			this.flow.data(part, this.lastSent);
-		}
-
-		/**
-		 * Tells whether this attempt cannot have run: the home asks before it starts a
-		 * request that must not run twice.
-		 * @return true when permission to start was not given
-		 */
-		boolean hasSurelyNotRun() {
-			return !Exchange.this.route.idempotent() && !this.permitted;
-		}
-
-		@Override
-		public void startAsked() {
-			if (isCurrent() && this.flow != null) {
-				this.permitted = true;
-				this.flow.start();
-				return;
-			}
-			this.askedEarly = isCurrent();
-		}
-
-		@Override
-		public void replied(ReplyHead head) {
-			if (!isCurrent()) {
-				return;
-			}
-			if (head.status() >= SERVER_ERROR && Exchange.this.route.idempotent() && tryInstead()) {
-				return;
-			}
-			this.reply = head;
-			Exchange.this.service.observed(this.target.id(), Exchange.this.route.name(), head.targetMillis());
-		}
-
-		private boolean tryInstead() {
-			CallFailure failure = new CallFailure(FailureReason.TARGET_BROKE_OFF, true, true, 0, HomeLoad.UNKNOWN);
-			Exchange.this.reached++;
-			if (!mayRepeat(failure)) {
-				Exchange.this.reached--;
-				return false;
-			}
-			// The rest of this answer is small and arrives unheeded.
-			Exchange.this.attempt = null;
-			Exchange.this.mayHaveRun = true;
-			place();
-			return true;
+	void readOn() {
+		this.connection.readOn();
+	}
+
+	void observed(TargetEntry target, ReplyHead head) {
+		this.service.observed(target.id(), this.route.name(), head.targetMillis());
+	}
+
+	/**
+	 * Sends the request to another target, because the present one has answered with an
+	 * error of its own.
+	 * @return true when it was sent; false when that answer is to be passed on
+	 */
+	boolean tryInstead() {
+		CallFailure failure = new CallFailure(FailureReason.TARGET_BROKE_OFF, true, true, 0, HomeLoad.UNKNOWN);
+		this.reached++;
+		if (!mayRepeat(failure)) {
+			this.reached--;
+			return false;
 		}
+		// The rest of this answer is small and arrives unheeded.
+		this.attempt = null;
+		this.mayHaveRun = true;
+		place();
+		return true;
+	}
 
-		@Override
-		public void data(byte[] content, boolean last) {
-			if (!isCurrent()) {
-				return;
-			}
-			if (Exchange.this.answered) {
-				pass(content);
-			}
-			else {
-				this.held.add(content);
-				this.heldBytes += content.length;
-				if (last || this.heldBytes >= WINDOW_BYTES) {
-					passHeld(last);
-				}
-			}
-			if (last) {
-				complete();
-			}
-		}
-
-		private void passHeld(boolean whole) {
-			DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
-					HttpResponseStatus.valueOf(this.reply.status()));
-			Headers.add(this.reply.headers(), response.headers());
-			frame(response, whole);
-			emit(response, 0);
-			this.held.forEach(this::pass);
-			this.held.clear();
-		}
-
-		private void frame(HttpResponse response, boolean whole) {
-			if (HttpResponseStatus.NO_CONTENT.code() == this.reply.status()
-					|| HttpResponseStatus.NOT_MODIFIED.code() == this.reply.status()) {
-				return;
-			}
-			boolean head = "HEAD".equals(Exchange.this.request.method());
-			long length = (whole && !head) ? this.heldBytes : this.reply.bodyLength();
-			if (length >= 0) {
-				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-				return;
-			}
-			if (!head) {
-				response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			}
-		}
-
-		private void pass(byte[] content) {
-			if (content.length > 0) {
-				emit(new DefaultHttpContent(Unpooled.wrappedBuffer(content)), content.length);
-			}
-		}
-
-		private void complete() {
-			emit(LastHttpContent.EMPTY_LAST_CONTENT, 0);
-			long now = Exchange.this.service.fabric().now();
-			boolean late = now > Exchange.this.objectiveAt;
-			if (late || this.reply.status() >= SERVER_ERROR || DecisionLog.isSampled(Exchange.this.request.id())) {
-				Exchange.this.service.fabric()
-					.log()
-					.log(LogEvent.REQUEST_DONE, "request", Exchange.this.request.id(), "route", routeName(), "target",
-							this.target.id(), "status", this.reply.status(), "late", late, "after_ms", age(),
-							"target_ms", now - this.sentAt, "tried", Exchange.this.tried.size());
-			}
-			finish();
-		}
-
-		@Override
-		public void credit(int bytes) {
-			this.bodyCredit += bytes;
-			if (isCurrent()) {
-				pump();
-			}
-		}
-
-		@Override
-		public void failed(CallFailure failure) {
-			if (!isCurrent()) {
-				return;
-			}
-			boolean lost = failure.reason() == FailureReason.LINK_LOST;
-			attemptFailed(this, (lost && hasSurelyNotRun())
-					? CallFailure.notSent(FailureReason.LINK_LOST, 0, HomeLoad.UNKNOWN) : failure);
-		}
-
-		private boolean isCurrent() {
-			return Exchange.this.attempt == this && !Exchange.this.ended;
+	/**
+	 * The answer of an attempt is complete.
+	 * @param done the attempt
+	 */
+	void completed(Attempt done) {
+		long now = this.service.fabric().now();
+		boolean late = now > this.objectiveAt;
+		int status = done.reply().status();
+		if (late || status >= SERVER_ERROR || DecisionLog.isSampled(this.request.id())) {
+			this.log.done(this.route, done, late, age(), now - done.sentAt(), this.tried.size());
 		}
+		finish();
+	}
 
+	private long age() {
+		return this.service.fabric().now() - this.receivedAt;
+	}
+
+	private String routeName() {
+		return (this.route != null) ? this.route.name() : "";
 	}
 
 }
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestBody.java
@@ -0,0 +1,95 @@
+package org.eelgrasspitch.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The body of a request at its entry. Up to {@link CallSink#WINDOW_BYTES} are kept, so
+ * that the request can be sent again; a longer body streams through, and cannot be
+ * repeated.
+ */
+final class RequestBody {
+
+	/** Parts that are kept for repeats. */
+	private final List<byte[]> kept = new ArrayList<>();
+
+	/** Parts beyond the kept ones that wait for permission to be sent. */
+	private final Deque<byte[]> unsent = new ArrayDeque<>();
+
+	private int keptBytes;
+
+	private long allBytes;
+
+	private boolean streamed;
+
+	private boolean complete;
+
+	RequestBody(boolean complete) {
+		this.complete = complete;
+	}
+
+	void add(byte[] content) {
+		this.allBytes += content.length;
+		if (content.length == 0) {
+			return;
+		}
+		if (this.streamed || this.keptBytes + content.length > CallSink.WINDOW_BYTES) {
+			this.streamed = true;
+			this.unsent.add(content);
+			return;
+		}
+		this.kept.add(content);
+		this.keptBytes += content.length;
+	}
+
+	void complete() {
+		this.complete = true;
+	}
+
+	boolean isComplete() {
+		return this.complete;
+	}
+
+	/**
+	 * Tells whether enough has arrived to send the request on.
+	 * @return true when the body is complete, or too long to be kept
+	 */
+	boolean isReady() {
+		return this.complete || this.streamed;
+	}
+
+	/**
+	 * Tells whether parts were passed on that are not kept.
+	 * @return true when the request cannot be sent again
+	 */
+	boolean isStreamed() {
+		return this.streamed;
+	}
+
+	long allBytes() {
+		return this.allBytes;
+	}
+
+	List<byte[]> kept() {
+		return this.kept;
+	}
+
+	Deque<byte[]> unsent() {
+		return this.unsent;
+	}
+
+	byte[] keptContent() {
+		ByteArrayOutputStream content = new ByteArrayOutputStream(this.keptBytes);
+		this.kept.forEach(content::writeBytes);
+		return content.toByteArray();
+	}
+
+	void clear() {
+		this.kept.clear();
+		this.unsent.clear();
+	}
+
+}
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -188,3 +188,7 @@
     Then it gets status 200
     When a requester at pay-a sends GET /desk/crash 4 times while crashed servers come back
     Then no further server crashed
+
+  Scenario: A body that is longer than the operators allow
+    When a requester at desk-b sends POST /pay/ok in pieces of 50000 bytes, 1500000 in all
+    Then it gets status 413
