Revert the objective of targets' own calls: they count as late after their route's objective again

Calls that are never refused wait up to 585 ms, their callers hold slots meanwhile, and everything behind gets late; a refusal ends the caller's work soon and it is repeated. Conclusion: reverted; the replay of short urgent work at a target full of long work stays as a test of the queue.

--- a/core/src/test/java/org/eelgrasspitch/mesh/HomeQueueTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/HomeQueueTests.java
@@ -82,7 +82,7 @@
 	}
 
 	@Test
-	public void callsOfTargetsAreServedAtATargetThatIsFullOfLongWork() {
+	public void urgentShortWorkIsServedAtATargetThatIsFullOfLongWork() {
 		// One target is left of three: nine slots, work of 880 ms at twice the capacity.
 		Shape history = new Shape(2, 880, 2_500, 15_000);
 		Shape call = new Shape(-1, 55, 585, 585);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -251,7 +251,7 @@
 	private void send(TargetEntry target, long now) {
 		this.tried.add(target.id());
 		CallHead head = new CallHead(this.request.id(), this.route.name(), target.id(), this.request.method(),
-				this.request.uri(), this.request.headers(), this.deadlineAt, homeObjectiveAt(), this.rank,
+				this.request.uri(), this.request.headers(), this.deadlineAt, this.objectiveAt, this.rank,
 				this.route.idempotent(), this.reached > 0, this.request.bodyLength());
 		Attempt started = new Attempt(this, target, now);
 		this.attempt = started;
@@ -264,16 +264,6 @@
 		started.use(this.service.open(target, head, started));
 	}
 
-	/**
-	 * Returns until when the home should prefer to serve the request. A call of a target
-	 * is worth its whole caller's work until the caller gives up, however late it is
-	 * itself.
-	 * @return the time in monotonic milliseconds
-	 */
-	private long homeObjectiveAt() {
-		return (this.rank == INTERNAL_RANK) ? this.deadlineAt : this.objectiveAt;
-	}
-
 	/**
 	 * An attempt has ended without an answer.
 	 * @param failed the attempt
