Read integers in one place; drop dead stops; schedule one expiry a change

Fields.whole repeated what Fields.integer did; nobody called stopListening of Links and EntryServer, whose channels were kept only for it; one expiry was scheduled for every removed entry of a change. Ruled out: nothing; behaviour is meant to stay. Change: integer reads through whole; the dead methods and fields are gone; one expiry is scheduled for a change that removes anything. Figures: unit tests with format and style checks of core, proxy, platform, cli and what they need pass (35 s).

--- a/core/src/main/java/org/eelgrasspitch/misc/Fields.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/Fields.java
@@ -113,8 +113,7 @@
 	 * @return the number, or {@code min} after a problem was reported
 	 */
 	public int integer(String key, int min, int max) {
-		LocatedNode node = required(key);
-		return (node != null) ? integer(key, node, min, max) : min;
+		return (int) whole(key, min, max);
 	}
 
 	/**
@@ -346,18 +345,6 @@
 		this.listener.report(Problem.of(type, position, arguments));
 	}
 
-	private int integer(String key, LocatedNode node, int min, int max) {
-		if (!(node instanceof LocatedNode.IntegerNode number)) {
-			report(ErrorType.WRONG_TYPE, node.position(), key, "an integer");
-			return min;
-		}
-		if (number.value() < min || number.value() > max) {
-			report(ErrorType.OUT_OF_RANGE, node.position(), key, number.value(), min, max);
-			return min;
-		}
-		return (int) number.value();
-	}
-
 	private LocatedNode required(String key) {
 		if (has(key)) {
 			return this.object.members().get(key);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefKeeper.java
@@ -147,6 +147,8 @@
 	private void targets(SourceDelta delta, List<String> removed, long now) {
 		for (String id : removed) {
 			this.directory.remove(id, now).ifPresent((entry) -> gone(entry, "removed"));
+		}
+		if (!removed.isEmpty()) {
 			this.control.schedule(this::expire, DirectoryKeeper.AWAY_MILLIS + 1, TimeUnit.MILLISECONDS);
 		}
 		delta.items().forEach((item) -> target(item, now));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
@@ -36,19 +36,16 @@
 
 	private final Set<CallerConnection> connections = new HashSet<>();
 
-	private Channel entry;
-
 	EntryServer(EntryService service) {
 		this.service = service;
 	}
 
 	void start() {
 		Fabric fabric = this.service.fabric();
-		this.entry = Connections.server(fabric.loop())
+		Connections.server(fabric.loop())
 			.childHandler(entryInitializer())
 			.bind(fabric.settings().entryAddress())
-			.syncUninterruptibly()
-			.channel();
+			.syncUninterruptibly();
 		Connections.server(fabric.loop())
 			.childHandler(readinessInitializer())
 			.bind(fabric.settings().readinessAddress())
@@ -72,10 +69,6 @@
 		new ArrayList<>(this.connections).forEach(CallerConnection::closeIfIdle);
 	}
 
-	void stopListening() {
-		this.entry.close();
-	}
-
 	private void checkIdle() {
 		long now = this.service.fabric().now();
 		new ArrayList<>(this.connections).forEach((connection) -> connection.checkIdle(now));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -88,8 +88,6 @@
 
 	private DocumentExchange documents;
 
-	private Channel listener;
-
 	Links(Fabric fabric, Home home, long incarnation) {
 		this.fabric = fabric;
 		this.home = home;
@@ -103,11 +101,10 @@
 	void start(DocumentExchange exchange) {
 		this.documents = exchange;
 		this.home.onStateChange(this::beatAll);
-		this.listener = Connections.server(this.fabric.loop())
+		Connections.server(this.fabric.loop())
 			.childHandler(initializer(false))
 			.bind(this.fabric.settings().linkAddress())
-			.syncUninterruptibly()
-			.channel();
+			.syncUninterruptibly();
 		this.fabric.loop().scheduleAtFixedRate(this::beatAll, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
 		this.fabric.loop().scheduleAtFixedRate(this::dialMissing, DIAL_MILLIS, DIAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -225,10 +222,6 @@
 		this.documents.offer(channel, delta, peer);
 	}
 
-	void stopListening() {
-		this.listener.close();
-	}
-
 	private void pull(Link link, SourceChannel channel) {
 		int index = channel.ordinal();
 		long since = this.behindSince[index];
