--- a/cli/src/main/java/org/eelgrasspitch/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/ExplainCommand.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
@@ -22,6 +23,7 @@
 		parser
 			.description("Reads the decision logs of any nodes and tells the story of one request. Exit code 0: found; "
 					+ "1: no log has it; 3: a file cannot be read. Example: eelgrasspitch explain 9c41d07be2a35f68 a.log b.log");
+		parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON object instead of text");
 		parser.addArgument("request").help("the caller's identifier of the request");
 		parser.addArgument("logs").nargs("+").help("log files");
 	}
@@ -39,7 +41,12 @@
 				return ExitCode.UNAVAILABLE;
 			}
 		}
-		explanation.tell().forEach(System.out::println);
+		if (arguments.getBoolean("json")) {
+			System.out.println(explanation.tellJson());
+		}
+		else {
+			explanation.tell().forEach(System.out::println);
+		}
 		return explanation.isFound() ? ExitCode.OK : ExitCode.FAILED;
 	}
 
--- a/cli/src/main/java/org/eelgrasspitch/cli/Explanation.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/Explanation.java
@@ -12,6 +12,7 @@
 import org.eelgrasspitch.misc.CollectingProblemListener;
 import org.eelgrasspitch.misc.LocatedNode;
 import org.eelgrasspitch.misc.LocatedReader;
+import org.eelgrasspitch.testkit.Json;
 
 /**
  * Tells the story of one request from the decision logs of any nodes: every decision that
@@ -69,20 +70,15 @@
 	 * @return its lines; the last one is the cause
 	 */
 	List<String> tell() {
-		this.entries.sort(Comparator.comparingLong(Entry::at));
 		List<String> lines = new ArrayList<>();
-		for (Entry entry : this.entries) {
-			if (!entry.concerns(this.requestId)) {
-				entry.subject().ifPresent((subject) -> this.beliefs.put(entry.vm() + " " + subject, entry));
-				continue;
-			}
-			if (this.story.isEmpty()) {
+		for (Step step : steps()) {
+			if (lines.isEmpty()) {
 				lines.add("request " + this.requestId);
 			}
-			this.story.add(entry);
-			lines.add(line(entry));
-			belief(entry).ifPresent((belief) -> lines.add(
-					"             known then: " + describe(belief) + ", " + (entry.at() - belief.at()) + " ms before"));
+			lines.add(line(step.entry()));
+			step.belief()
+				.ifPresent((belief) -> lines.add("             known then: " + describe(belief) + ", "
+						+ (step.entry().at() - belief.at()) + " ms before"));
 		}
 		if (!this.unreadable.isEmpty()) {
 			lines.add(this.unreadable.size() + " lines could not be read, the first one at "
@@ -92,6 +88,54 @@
 		return lines;
 	}
 
+	/**
+	 * Tells the story to programs.
+	 * @return a JSON object with the request, the decisions in order of time, each with
+	 * what was known of its target, the lines that could not be read, and the cause
+	 */
+	String tellJson() {
+		List<Map<String, Object>> decisions = new ArrayList<>();
+		for (Step step : steps()) {
+			Map<String, Object> decision = members(step.entry());
+			step.belief().ifPresent((belief) -> {
+				Map<String, Object> known = members(belief);
+				known.put("age_ms", step.entry().at() - belief.at());
+				decision.put("known", known);
+			});
+			decisions.add(decision);
+		}
+		Map<String, Object> story = new LinkedHashMap<>();
+		story.put(REQUEST, this.requestId);
+		story.put("decisions", decisions);
+		story.put("unreadable", this.unreadable);
+		story.put("cause", cause());
+		return Json.write(story);
+	}
+
+	private List<Step> steps() {
+		this.entries.sort(Comparator.comparingLong(Entry::at));
+		this.story.clear();
+		List<Step> steps = new ArrayList<>();
+		for (Entry entry : this.entries) {
+			if (!entry.concerns(this.requestId)) {
+				entry.subject().ifPresent((subject) -> this.beliefs.put(entry.vm() + " " + subject, entry));
+				continue;
+			}
+			this.story.add(entry);
+			steps.add(new Step(entry, belief(entry)));
+		}
+		return steps;
+	}
+
+	private static Map<String, Object> members(Entry entry) {
+		Map<String, Object> members = new LinkedHashMap<>();
+		members.put("ts", entry.at());
+		members.put("vm", entry.vm());
+		members.put("event", entry.event());
+		members.putAll(entry.fields());
+		return members;
+	}
+
 	boolean isFound() {
 		return !this.story.isEmpty();
 	}
@@ -128,10 +172,23 @@
 					+ fields.get("reason") + " (targets reached: " + fields.get("reached") + ")";
 			case "request_cancelled" -> "the caller left" + after;
 			default -> "answered with status " + fields.get("status") + after
-					+ ("true".equals(fields.get("late")) ? ", late" : "") + call;
+					+ ("true".equals(fields.get("late")) ? (", late" + delay()) : "") + call;
 		};
 	}
 
+	/**
+	 * Tells where a late request spent its time, if a home has logged it.
+	 * @return the end of a sentence, or the empty string
+	 */
+	private String delay() {
+		return this.story.stream()
+			.filter((entry) -> entry.event().equals("call_done") && this.requestId.equals(entry.fields().get(REQUEST)))
+			.reduce((former, latter) -> latter)
+			.map((entry) -> ": it waited " + entry.fields().get("waited_ms") + " ms at its home and took "
+					+ entry.fields().get("target_ms") + " ms at the target")
+			.orElse("");
+	}
+
 	private String line(Entry entry) {
 		return String.format("%+8d ms  %-24s %s", entry.at() - this.story.getFirst().at(), entry.vm(), describe(entry));
 	}
@@ -168,6 +225,16 @@
 		};
 	}
 
+	/**
+	 * A decision of the story.
+	 *
+	 * @param entry its line
+	 * @param belief what the deciding node had last learned of the target involved
+	 */
+	private record Step(Entry entry, Optional<Entry> belief) {
+
+	}
+
 	/**
 	 * A line of a log.
 	 *
--- a/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
+++ b/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
@@ -68,6 +68,30 @@
 				"cause: refused without having run: no route (targets tried: 0)");
 	}
 
+	@Test
+	public void tellsWhereALateRequestSpentItsTime() {
+		Assert.assertEquals(tell("q5",
+				"{\"ts\":5,\"vm\":\"b\",\"event\":\"call_done\",\"request\":\"q5\",\"entry\":\"a\",\"good\":true,"
+						+ "\"late\":true,\"waited_ms\":700,\"target_ms\":90}",
+				"{\"ts\":6,\"vm\":\"a\",\"event\":\"request_done\",\"request\":\"q5\",\"status\":200,"
+						+ "\"late\":true,\"after_ms\":801}")
+			.getLast(),
+				"cause: answered with status 200 after 801 ms, late: it waited 700 ms at its home and took 90 ms "
+						+ "at the target");
+	}
+
+	@Test
+	public void tellsTheSameToPrograms() {
+		Explanation explanation = new Explanation("q1");
+		explanation.add("log:1", SEEN);
+		explanation.add("log:2", FAILED.replace("b-1", "a-1"));
+		explanation.add("log:3", "{\"broken");
+		String json = explanation.tellJson();
+		Assert.assertTrue(json.startsWith("{\"request\":\"q1\",\"decisions\":[{\"ts\":2010,\"vm\":\"a-1\","), json);
+		Assert.assertTrue(json.contains("\"known\":{\"ts\":1000") && json.contains("\"age_ms\":1010"), json);
+		Assert.assertTrue(json.contains("\"unreadable\":[\"log:3\"],\"cause\":\"no entry's end"), json);
+	}
+
 	@Test
 	public void saysWhenNoLogHasTheRequest() {
 		Explanation explanation = new Explanation("q9");
--- a/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
@@ -27,11 +27,11 @@
 	/** Part of the budget open to callers who could come back on their own. */
 	private static final double OWN_RETURN = 0.5;
 
-	private final double ratio;
+	private double ratio;
 
-	private final double minimum;
+	private double minimum;
 
-	private final long windowMillis;
+	private long windowMillis;
 
 	private final Map<String, Window> windows = new HashMap<>();
 
@@ -42,6 +42,16 @@
 	 * @param windowMillis length of the window in milliseconds
 	 */
 	public AttemptBudget(double ratio, double minimum, long windowMillis) {
+		limit(ratio, minimum, windowMillis);
+	}
+
+	/**
+	 * Changes the limits. What was sent before still counts.
+	 * @param ratio repeats allowed for each request
+	 * @param minimum repeats allowed besides, in one window, by all nodes together
+	 * @param windowMillis length of the window in milliseconds
+	 */
+	public void limit(double ratio, double minimum, long windowMillis) {
 		this.ratio = ratio;
 		this.minimum = minimum;
 		this.windowMillis = windowMillis;
--- a/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
@@ -9,7 +9,9 @@
  * @param sentSince requests that this entry has sent there after that word
  * @param serviceMillis time that a request of this route takes there; 0 when not known
  * @param coldMillis how much longer the target is slow after its start
+ * @param ageMillis time since that word of its home
  */
-public record Candidate(String id, boolean near, HomeLoad load, int sentSince, double serviceMillis, long coldMillis) {
+public record Candidate(String id, boolean near, HomeLoad load, int sentSince, double serviceMillis, long coldMillis,
+		long ageMillis) {
 
 }
--- a/core/src/main/java/org/eelgrasspitch/mesh/HomeQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/HomeQueue.java
@@ -120,6 +120,24 @@
 		return new Decision<>(started, refused);
 	}
 
+	/**
+	 * Tells where waiting work stands.
+	 * @param work the work
+	 * @param slots requests that may run at a time
+	 * @return its place, or empty when it does not wait
+	 */
+	public Optional<Place> place(T work, int slots) {
+		double ahead = 0;
+		for (int i = 0; i < this.waiting.size(); i++) {
+			Job<T> job = this.waiting.get(i).job;
+			if (job.work() == work) {
+				return Optional.of(new Place(i, (long) startMillis(ahead, slots)));
+			}
+			ahead += job.expectedMillis();
+		}
+		return Optional.empty();
+	}
+
 	/**
 	 * Returns the number of running requests.
 	 * @return the number
@@ -184,6 +202,16 @@
 
 	}
 
+	/**
+	 * Where work stands in the queue.
+	 *
+	 * @param ahead other work that starts before it
+	 * @param waitMillis expected time until it starts, in milliseconds
+	 */
+	public record Place(int ahead, long waitMillis) {
+
+	}
+
 	/**
 	 * What to do now.
 	 *
--- a/core/src/main/java/org/eelgrasspitch/misc/Fields.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/Fields.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.misc;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -18,6 +19,8 @@
 	/** The form of all names: 1 to 63 characters, as in a DNS label. */
 	private static final Pattern NAME = Pattern.compile("[a-z][a-zA-Z0-9-]{0,62}");
 
+	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
+
 	private final LocatedNode.ObjectNode object;
 
 	private final ProblemListener listener;
@@ -105,6 +108,20 @@
 		return value;
 	}
 
+	/**
+	 * Reads a required socket address.
+	 * @param key the member's name
+	 * @return the address, or port 0 of any address after a problem was reported
+	 */
+	public InetSocketAddress address(String key) {
+		String written = text(key);
+		Optional<InetSocketAddress> address = Addresses.parse(written);
+		if (address.isEmpty() && !written.isEmpty()) {
+			report(ErrorType.BAD_ADDRESS, position(key), written);
+		}
+		return address.orElse(NO_ADDRESS);
+	}
+
 	/**
 	 * Reads a required integer.
 	 * @param key the member's name
--- a/node/src/main/java/org/eelgrasspitch/node/EventLog.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EventLog.java
@@ -2,8 +2,8 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 
+import org.eelgrasspitch.misc.LineRate;
 import org.eelgrasspitch.misc.TimeSource;
 import org.jboss.logging.Logger;
 import org.jboss.logging.MDC;
@@ -24,7 +24,7 @@
 
 	private final TimeSource time;
 
-	private final Map<String, Rate> rates = new ConcurrentHashMap<>();
+	private final Map<String, LineRate> rates = new ConcurrentHashMap<>();
 
 	/**
 	 * Creates a log.
@@ -53,8 +53,8 @@
 	}
 
 	private void log(Logger.Level level, String event, Field... fields) {
-		Rate rate = this.rates.computeIfAbsent(event, (name) -> new Rate());
-		long suppressed = rate.permit(this.time.monotonicMillis() / MILLIS_PER_SECOND);
+		LineRate rate = this.rates.computeIfAbsent(event, (name) -> new LineRate());
+		long suppressed = rate.permit(this.time.monotonicMillis() / MILLIS_PER_SECOND, MAX_PER_SECOND);
 		if (suppressed < 0) {
 			return;
 		}
@@ -88,34 +88,4 @@
 
 	}
 
-	/**
-	 * Counts the lines of one kind in the present second.
-	 */
-	private static final class Rate {
-
-		private final AtomicLong suppressed = new AtomicLong();
-
-		private long second;
-
-		private int lines;
-
-		/**
-		 * Permits a line or counts it as suppressed.
-		 * @param now the present second
-		 * @return lines suppressed since the last permitted one, or -1 when not permitted
-		 */
-		synchronized long permit(long now) {
-			if (now != this.second) {
-				this.second = now;
-				this.lines = 0;
-			}
-			if (++this.lines > MAX_PER_SECOND) {
-				this.suppressed.incrementAndGet();
-				return -1;
-			}
-			return this.suppressed.getAndSet(0);
-		}
-
-	}
-
 }
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -52,8 +52,6 @@
 
 	private static final int DEFAULT_START_MILLIS = 1_500;
 
-	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
-
 	private final CollectingProblemListener listener = new CollectingProblemListener();
 
 	private SettingsParser() {
@@ -94,10 +92,10 @@
 		String vm = fields.name("vm");
 		String failureDomain = fields.name("failureDomain");
 		String service = fields.name("service");
-		InetSocketAddress peer = address(fields, "peerAddress");
-		InetSocketAddress advertised = fields.has("advertisedAddress") ? address(fields, "advertisedAddress") : peer;
+		InetSocketAddress peer = fields.address("peerAddress");
+		InetSocketAddress advertised = fields.has("advertisedAddress") ? fields.address("advertisedAddress") : peer;
 		NodeSettings settings = new NodeSettings(vm, failureDomain, service, peer, advertised,
-				address(fields, "callerAddress"), address(fields, "operatorAddress"), address(fields, "targetAddress"),
+				fields.address("callerAddress"), fields.address("operatorAddress"), fields.address("targetAddress"),
 				url(fields), seeds(fields),
 				fields.word("distribution", List.of(Distribution.values()), Distribution.DELTAS),
 				fields.integer("platformCallsPerSecond", 1, MAX_PLATFORM_CALLS, DEFAULT_PLATFORM_CALLS),
@@ -110,15 +108,6 @@
 		return settings;
 	}
 
-	private InetSocketAddress address(Fields fields, String key) {
-		String written = fields.text(key);
-		Optional<InetSocketAddress> address = Addresses.parse(written);
-		if (address.isEmpty() && !written.isEmpty()) {
-			fields.report(ErrorType.BAD_ADDRESS, fields.position(key), written);
-		}
-		return address.orElse(NO_ADDRESS);
-	}
-
 	private String url(Fields fields) {
 		String written = fields.text("platformUrl");
 		if (fields.has("platformUrl") && !isHttpUrl(written)) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefKeeper.java
@@ -48,6 +48,8 @@
 
 	private final long[] changedAt = new long[SourceChannel.values().length];
 
+	private volatile boolean sourceLost;
+
 	/** The configuration in force; null before the first. */
 	private MeshConfig config;
 
@@ -64,6 +66,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether the source does not answer at present.
+	 * @return true from the loss until the return
+	 */
+	boolean isSourceLost() {
+		return this.sourceLost;
+	}
+
 	@Override
 	public void read(SourceChannel channel, SourceDelta delta) {
 		take(channel, delta);
@@ -71,6 +81,7 @@
 
 	@Override
 	public void lost(String reason) {
+		this.sourceLost = true;
 		this.directory.sourceLost();
 		this.log.log(LogEvent.SOURCE_LOST, "reason", reason, "config_revision", revision(SourceChannel.CONFIG),
 				"targets_revision", revision(SourceChannel.TARGETS));
@@ -78,6 +89,7 @@
 
 	@Override
 	public void returned(long absentMillis) {
+		this.sourceLost = false;
 		this.log.log(LogEvent.SOURCE_RETURNED, "absent_ms", absentMillis);
 		if (absentMillis < ABSENCE_MILLIS) {
 			this.directory.sourceNeverGone();
@@ -160,6 +172,7 @@
 			this.log.log(LogEvent.TARGET_IGNORED, "target", item.key(), "revision", item.revision(), "first",
 					decoded.getLeft().getFirst());
 			this.directory.remove(item.key(), now).ifPresent((entry) -> gone(entry, "unreadable"));
+			this.control.schedule(this::expire, DirectoryKeeper.AWAY_MILLIS + 1, TimeUnit.MILLISECONDS);
 			return;
 		}
 		TargetEntry entry = decoded.get();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
@@ -16,10 +16,12 @@
  * @param rank importance; lower goes first
  * @param idempotent whether it may run more than once
  * @param repeat whether another target has received it before
+ * @param logged whether its home is to log it whatever becomes of it
  * @param bodyLength length of the body; {@link #CHUNKED} or {@link #NO_BODY}
  */
 record CallHead(String requestId, String route, String target, String method, String uri, List<String> headers,
-		long deadlineAt, long objectiveAt, int rank, boolean idempotent, boolean repeat, long bodyLength) {
+		long deadlineAt, long objectiveAt, int rank, boolean idempotent, boolean repeat, boolean logged,
+		long bodyLength) {
 
 	/** A body follows whose length is not known beforehand. */
 	static final long CHUNKED = -1;
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallLog.java
@@ -0,0 +1,56 @@
+package org.eelgrasspitch.proxy;
+
+import org.eelgrasspitch.mesh.HomeLoad;
+import org.eelgrasspitch.mesh.HomeQueue.Place;
+
+/**
+ * Writes the decisions that touch one call at the home of its target. What the entry logs
+ * is logged here too; so is every call that is refused, fails, is a repeat or ends late.
+ */
+final class CallLog {
+
+	private final RequestTrace trace;
+
+	private final CallHead head;
+
+	/** The VM of the entry. */
+	private final String from;
+
+	CallLog(DecisionLog log, CallHead head, String from) {
+		this.trace = new RequestTrace(log, head.requestId(), head.logged());
+		this.head = head;
+		this.from = from;
+	}
+
+	void queued(Place place, HomeLoad load, long now) {
+		this.trace.note(LogEvent.CALL_QUEUED, "entry", this.from, "ahead", place.ahead(), "expected_wait_ms",
+				place.waitMillis(), "running", load.running(), "slots", load.slots(), "rank", this.head.rank(),
+				"objective_ms", this.head.objectiveAt() - now, "left_ms", this.head.deadlineAt() - now);
+	}
+
+	void refused(FailureReason reason, HomeLoad load, int returnMillis, long now) {
+		this.trace.tell(LogEvent.CALL_REFUSED, "entry", this.from, "target", this.head.target(), "reason",
+				reason.word(), "running", load.running(), "waiting", load.waiting(), "slots", load.slots(), "left_ms",
+				this.head.deadlineAt() - now, "return_ms", returnMillis);
+	}
+
+	void failed(FailureReason reason, boolean mayHaveRun, long waitedMillis, long afterMillis) {
+		this.trace.tell(LogEvent.CALL_FAILED, "entry", this.from, "target", this.head.target(), "reason", reason.word(),
+				"may_have_run", mayHaveRun, "waited_ms", waitedMillis, "after_ms", afterMillis);
+	}
+
+	void done(boolean good, long waitedMillis, long targetMillis, long now) {
+		boolean late = now > this.head.objectiveAt();
+		if (good && !late && !this.head.repeat() && !this.trace.isKept()) {
+			return;
+		}
+		this.trace.tell(LogEvent.CALL_DONE, "entry", this.from, "target", this.head.target(), "good", good, "late",
+				late, "waited_ms", waitedMillis, "target_ms", targetMillis);
+	}
+
+	void cancelled(String state, long afterMillis) {
+		this.trace.tell(LogEvent.CALL_CANCELLED, "entry", this.from, "target", this.head.target(), "state", state,
+				"after_ms", afterMillis);
+	}
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Choice.java
@@ -0,0 +1,16 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.List;
+
+import org.eelgrasspitch.mesh.Candidate;
+import org.eelgrasspitch.mesh.TargetEntry;
+
+/**
+ * The target chosen for a request.
+ *
+ * @param target the target
+ * @param candidates all that were considered
+ */
+record Choice(TargetEntry target, List<Candidate> candidates) {
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DecisionLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DecisionLog.java
@@ -3,21 +3,29 @@
 import java.util.EnumMap;
 import java.util.Map;
 
+import org.eelgrasspitch.misc.LineRate;
 import org.eelgrasspitch.misc.TimeSource;
 import org.jboss.logging.Logger;
 
 /**
  * Writes one JSON line for each decision that touches a request or changes what this node
- * believes. The volume is bounded: each event has a number of lines a second, and lines
- * beyond it are counted in the next one. Successful requests are sampled by their
- * identifier, so every hop keeps the same ones.
+ * believes. The volume is bounded: an event about the node has a number of lines a
+ * second, and all lines about requests have one together; lines left out are counted in
+ * the next one. Requests that went well are sampled so that the lines about requests
+ * usually stay within a bound; those that did not may take {@link #STORM_FACTOR} times as
+ * many.
  */
 final class DecisionLog {
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
-	/** One request in this many is logged although it succeeded. */
-	private static final int SAMPLE = 64;
+	/** Lines about requests that did not go well, as a multiple of the usual bound. */
+	private static final int STORM_FACTOR = 10;
+
+	/** Most characters of one value; identifiers and addresses are shorter. */
+	private static final int MAX_VALUE_CHARACTERS = 1_024;
+
+	private static final int LINE_CHARACTERS = 192;
 
 	private final Logger logger = Logger.getLogger("eelgrasspitch");
 
@@ -25,38 +33,119 @@
 
 	private final TimeSource time;
 
-	private final Map<LogEvent, Rate> rates = new EnumMap<>(LogEvent.class);
+	private final Map<LogEvent, LineRate> rates = new EnumMap<>(LogEvent.class);
+
+	/** Bounds all lines about requests together. */
+	private final LineRate requests = new LineRate();
+
+	private final SampleRate sample = new SampleRate();
 
-	DecisionLog(String vm, TimeSource time) {
+	private volatile LogDetail detail;
+
+	private volatile int linesPerSecond;
+
+	DecisionLog(String vm, TimeSource time, LogDetail detail, int linesPerSecond) {
 		this.vm = vm;
 		this.time = time;
+		configure(detail, linesPerSecond);
 		for (LogEvent event : LogEvent.values()) {
-			this.rates.put(event, new Rate());
+			this.rates.put(event, new LineRate());
 		}
 	}
 
 	/**
-	 * Tells whether a successful request is logged.
+	 * Changes how much is logged about requests.
+	 * @param newDetail how much
+	 * @param newLinesPerSecond lines about requests in a second, usually at most
+	 */
+	void configure(LogDetail newDetail, int newLinesPerSecond) {
+		this.detail = newDetail;
+		this.linesPerSecond = newLinesPerSecond;
+	}
+
+	/**
+	 * Tells whether a request is logged whatever becomes of it.
 	 * @param requestId its identifier
-	 * @return true when it belongs to the sample
+	 * @return true when it is
 	 */
-	static boolean isSampled(String requestId) {
-		return Math.floorMod(requestId.hashCode(), SAMPLE) == 0;
+	boolean keeps(String requestId) {
+		return switch (this.detail) {
+			case OFF -> false;
+			case DEFAULT -> this.sample.keeps(requestId);
+			case FULL -> true;
+		};
 	}
 
 	/**
-	 * Writes a line.
+	 * Tells whether nothing is logged about requests.
+	 * @return true when nothing is
+	 */
+	boolean isSilent() {
+		return this.detail == LogDetail.OFF;
+	}
+
+	int sampleLevel() {
+		return this.sample.level();
+	}
+
+	long wallMillis() {
+		return this.time.wallMillis();
+	}
+
+	/**
+	 * Writes a line about this node.
 	 * @param event the event
 	 * @param fields names and values in turn
 	 */
 	void log(LogEvent event, Object... fields) {
-		long now = this.time.monotonicMillis();
-		long suppressed = this.rates.get(event).permit(now / MILLIS_PER_SECOND, event.linesPerSecond());
+		long suppressed = this.rates.get(event).permit(second(), event.linesPerSecond());
+		if (suppressed >= 0) {
+			write(wallMillis(), event, suppressed, fields);
+		}
+	}
+
+	/**
+	 * Writes a line about a request.
+	 * @param event the event
+	 * @param requestId the request's identifier
+	 * @param fields names and values in turn
+	 */
+	void log(LogEvent event, String requestId, Object[] fields) {
+		log(wallMillis(), event, requestId, fields);
+	}
+
+	/**
+	 * Writes a line about a request that was decided on before.
+	 * @param at when it was, in Unix milliseconds
+	 * @param event the event
+	 * @param requestId the request's identifier
+	 * @param fields names and values in turn
+	 */
+	void log(long at, LogEvent event, String requestId, Object[] fields) {
+		if (isSilent()) {
+			return;
+		}
+		int bound = this.linesPerSecond;
+		int most = (this.detail == LogDetail.FULL) ? Integer.MAX_VALUE : bound * STORM_FACTOR;
+		long suppressed = this.requests.permit(second(), most);
 		if (suppressed < 0) {
 			return;
 		}
-		StringBuilder line = new StringBuilder(192);
-		line.append("{\"ts\":").append(this.time.wallMillis());
+		this.sample.wrote(second(), bound);
+		Object[] all = new Object[fields.length + 2];
+		all[0] = "request";
+		all[1] = requestId;
+		System.arraycopy(fields, 0, all, 2, fields.length);
+		write(at, event, suppressed, all);
+	}
+
+	private long second() {
+		return this.time.monotonicMillis() / MILLIS_PER_SECOND;
+	}
+
+	private void write(long at, LogEvent event, long suppressed, Object... fields) {
+		StringBuilder line = new StringBuilder(LINE_CHARACTERS);
+		line.append("{\"ts\":").append(at);
 		append(line, "vm", this.vm);
 		append(line, "event", event.word());
 		for (int i = 0; i + 1 < fields.length; i += 2) {
@@ -76,7 +165,8 @@
 		}
 		line.append('"');
 		String text = String.valueOf(value);
-		for (int i = 0; i < text.length(); i++) {
+		int length = Math.min(text.length(), MAX_VALUE_CHARACTERS);
+		for (int i = 0; i < length; i++) {
 			char character = text.charAt(i);
 			if (character < ' ') {
 				line.append(' ');
@@ -90,37 +180,4 @@
 		line.append('"');
 	}
 
-	/**
-	 * Counts the lines of one event in the present second.
-	 */
-	private static final class Rate {
-
-		private long second;
-
-		private int lines;
-
-		private long suppressed;
-
-		/**
-		 * Permits a line or counts it as suppressed.
-		 * @param now the present second
-		 * @param most lines permitted in a second
-		 * @return lines suppressed since the last permitted one, or -1 when not permitted
-		 */
-		synchronized long permit(long now, int most) {
-			if (now != this.second) {
-				this.second = now;
-				this.lines = 0;
-			}
-			if (++this.lines > most) {
-				this.suppressed++;
-				return -1;
-			}
-			long count = this.suppressed;
-			this.suppressed = 0;
-			return count;
-		}
-
-	}
-
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,6 +13,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -47,11 +49,11 @@
 			.bind(fabric.settings().entryAddress())
 			.syncUninterruptibly();
 		Connections.server(fabric.loop())
-			.childHandler(readinessInitializer())
+			.childHandler(answering(this::readiness))
 			.bind(fabric.settings().readinessAddress())
 			.syncUninterruptibly();
 		Connections.server(fabric.loop())
-			.childHandler(metricsInitializer())
+			.childHandler(answering((request) -> metrics()))
 			.bind(fabric.settings().metricsAddress())
 			.syncUninterruptibly();
 		fabric.loop().scheduleAtFixedRate(this::checkIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -88,53 +90,28 @@
 		};
 	}
 
-	private ChannelInitializer<Channel> readinessInitializer() {
+	private static ChannelInitializer<Channel> answering(Function<HttpRequest, FullHttpResponse> answer) {
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(new HttpServerCodec()).addLast(new Readiness(EntryServer.this.service));
+				channel.pipeline().addLast(new HttpServerCodec()).addLast(new Answering(answer));
 			}
 		};
 	}
 
-	private ChannelInitializer<Channel> metricsInitializer() {
-		return new ChannelInitializer<>() {
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(new HttpServerCodec()).addLast(new Exposition(EntryServer.this.service));
-			}
-		};
-	}
-
-	/**
-	 * Answers with all metrics.
-	 */
-	private static final class Exposition extends ChannelInboundHandlerAdapter {
-
-		private final EntryService service;
-
-		Exposition(EntryService service) {
-			this.service = service;
-		}
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object message) {
-			if (message instanceof HttpRequest) {
-				byte[] body = this.service.fabric().metrics().exposition();
-				DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-						HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
-				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-				response.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
-				context.writeAndFlush(response);
-			}
-			ReferenceCountUtil.release(message);
-		}
-
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			context.close();
+	private FullHttpResponse readiness(HttpRequest request) {
+		if (!request.uri().equals(this.service.fabric().names().readinessPath())) {
+			return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NOT_FOUND);
 		}
+		return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				this.service.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+	}
 
+	private FullHttpResponse metrics() {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+				Unpooled.wrappedBuffer(this.service.fabric().metrics().exposition()));
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+		return response;
 	}
 
 	/**
@@ -159,22 +136,21 @@
 	}
 
 	/**
-	 * Answers whether this node is ready.
+	 * Answers every request by a function of it.
 	 */
-	private static final class Readiness extends ChannelInboundHandlerAdapter {
+	private static final class Answering extends ChannelInboundHandlerAdapter {
 
-		private final EntryService service;
+		private final Function<HttpRequest, FullHttpResponse> answer;
 
-		Readiness(EntryService service) {
-			this.service = service;
+		Answering(Function<HttpRequest, FullHttpResponse> answer) {
+			this.answer = answer;
 		}
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			if (message instanceof HttpRequest request) {
-				DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-						status(request.uri()));
-				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+				FullHttpResponse response = this.answer.apply(request);
+				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 				context.writeAndFlush(response);
 			}
 			ReferenceCountUtil.release(message);
@@ -182,16 +158,10 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			// Whoever asks will ask again.
 			context.close();
 		}
 
-		private HttpResponseStatus status(String uri) {
-			if (!uri.equals(this.service.fabric().names().readinessPath())) {
-				return HttpResponseStatus.NOT_FOUND;
-			}
-			return this.service.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-		}
-
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -75,6 +75,14 @@
 		this.draw = fabric.random().nextDouble();
 	}
 
+	/**
+	 * Takes over the budget of repeats that the settings name.
+	 * @param settings the settings
+	 */
+	void configure(ProxySettings settings) {
+		this.budget.limit(settings.retryRatio(), settings.retryMinimum(), settings.retryWindowMillis());
+	}
+
 	Fabric fabric() {
 		return this.fabric;
 	}
@@ -158,7 +166,7 @@
 	 * @param objectiveMillis time left until the answer is late
 	 * @return the choice, or empty when no target takes requests
 	 */
-	Optional<TargetEntry> choose(String route, String service, Set<String> tried, long objectiveMillis) {
+	Optional<Choice> choose(String route, String service, Set<String> tried, long objectiveMillis) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (TargetEntry entry : this.view.directory().of(service)) {
 			if (!entry.draining() && !tried.contains(entry.id()) && !isDisplaced(entry.id())) {
@@ -166,7 +174,8 @@
 			}
 		}
 		return this.placement.choose(candidates, objectiveMillis)
-			.flatMap((choice) -> this.view.directory().find(choice.id()));
+			.flatMap((chosen) -> this.view.directory().find(chosen.id()))
+			.map((target) -> new Choice(target, candidates));
 	}
 
 	/**
@@ -191,7 +200,7 @@
 	 */
 	CallFlow open(TargetEntry target, CallHead head, CallSink sink) {
 		if (isOwn(target)) {
-			return this.home.accept(head, sink);
+			return this.home.accept(head, this.fabric.settings().vm(), sink);
 		}
 		return this.links.to(target).map((link) -> link.open(head, sink)).orElse(null);
 	}
@@ -231,6 +240,7 @@
 	 * @param target identifier of the target that is not there
 	 */
 	void displaced(String target) {
+		this.fabric.log().log(LogEvent.TARGET_DISPLACED, "target", target, "for_ms", DISPLACED_MILLIS);
 		this.displaced.put(target, this.fabric.now() + DISPLACED_MILLIS);
 	}
 
@@ -267,10 +277,11 @@
 		ServiceTimes observed = this.times.get(entry.id());
 		double millis = (observed != null) ? observed.recent(route, this.fabric.now()) : 0;
 		if (isOwn(entry)) {
-			return Optional.of(new Candidate(entry.id(), near, this.home.load(), 0, millis, entry.coldMillis()));
+			return Optional.of(new Candidate(entry.id(), near, this.home.load(), 0, millis, entry.coldMillis(), 0));
 		}
 		return this.links.to(entry)
-			.map((link) -> new Candidate(entry.id(), near, link.load(), link.sentSince(), millis, entry.coldMillis()));
+			.map((link) -> new Candidate(entry.id(), near, link.load(), link.sentSince(), millis, entry.coldMillis(),
+					this.fabric.now() - link.lastHeardAt()));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -52,8 +52,6 @@
 	/** A repeat needs at least this long to be worth sending. */
 	private static final long REPEAT_MILLIS = 40;
 
-	private static final int SERVER_ERROR = 500;
-
 	private final EntryService service;
 
 	private final CallerConnection connection;
@@ -160,6 +158,7 @@
 		long elapsed = internal ? 0 : this.service.elapsedMillis(found, allowed);
 		this.deadlineAt = this.receivedAt + Math.min(allowed - ANSWER_MILLIS, found.timeoutMillis());
 		this.objectiveAt = this.receivedAt + found.objectiveMillis() - elapsed;
+		this.log.admitted(found, this.destination, internal, allowed, elapsed, this.service.view(), this.receivedAt);
 		this.deadline = this.service.fabric()
 			.loop()
 			.schedule(this::expire, Math.max(0, this.deadlineAt - this.receivedAt), TimeUnit.MILLISECONDS);
@@ -228,13 +227,13 @@
 			return;
 		}
 		long now = this.service.fabric().now();
-		Optional<TargetEntry> target = this.service.choose(this.route.name(), this.destination, this.tried,
+		Optional<Choice> choice = this.service.choose(this.route.name(), this.destination, this.tried,
 				this.objectiveAt - now);
-		if (target.isEmpty()) {
+		if (choice.isEmpty()) {
 			placeLater(now);
 			return;
 		}
-		send(target.get(), now);
+		send(choice.get(), now);
 	}
 
 	private void placeLater(long now) {
@@ -248,19 +247,18 @@
 		giveUp();
 	}
 
-	private void send(TargetEntry target, long now) {
+	private void send(Choice choice, long now) {
+		TargetEntry target = choice.target();
+		this.log.placed(this.route, this.rank, choice, this.service.view(), this.deadlineAt - now, now);
 		this.tried.add(target.id());
 		CallHead head = new CallHead(this.request.id(), this.route.name(), target.id(), this.request.method(),
 				this.request.uri(), this.request.headers(), this.deadlineAt, this.objectiveAt, this.rank,
-				this.route.idempotent(), this.reached > 0, this.request.bodyLength());
+				this.route.idempotent(), this.reached > 0, this.log.isKept(), this.request.bodyLength());
 		Attempt started = new Attempt(this, target, now);
 		this.attempt = started;
 		if (this.tried.size() == 1) {
 			this.service.firstSend(this.destination, this.rank == INTERNAL_RANK);
 		}
-		if (DecisionLog.isSampled(this.request.id())) {
-			this.log.placed(this.route, this.rank, target, this.service.view(), this.deadlineAt - now);
-		}
 		started.use(this.service.open(target, head, started));
 	}
 
@@ -438,6 +436,9 @@
 
 	void observed(TargetEntry target, ReplyHead head) {
 		this.service.observed(target.id(), this.route.name(), head.targetMillis());
+		this.service.fabric()
+			.metrics()
+			.hopTook(this.service.fabric().now() - this.attempt.sentAt() - head.targetMillis());
 	}
 
 	/**
@@ -465,11 +466,7 @@
 	 */
 	void completed(Attempt done) {
 		long now = this.service.fabric().now();
-		boolean late = now > this.objectiveAt;
-		int status = done.reply().status();
-		if (late || status >= SERVER_ERROR || DecisionLog.isSampled(this.request.id())) {
-			this.log.done(this.route, done, late, age(), now - done.sentAt(), this.tried.size());
-		}
+		this.log.done(this.route, done, now > this.objectiveAt, age(), now - done.sentAt(), this.tried.size());
 		finish();
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 
 /**
  * A call at the home of its target: first in the home's queue, then on a connection to
@@ -30,7 +31,10 @@
 
 	private long startedAt;
 
-	HomeCall(Home home, CallHead head, CallSink sink, long receivedAt) {
+	private final CallLog log;
+
+	HomeCall(Home home, CallHead head, CallSink sink, CallLog log, long receivedAt) {
+		this.log = log;
 		this.receivedAt = receivedAt;
 		this.home = home;
 		this.head = head;
@@ -42,6 +46,14 @@
 		return this.head;
 	}
 
+	CallLog log() {
+		return this.log;
+	}
+
+	String stateWord() {
+		return this.state.name().toLowerCase(Locale.ROOT);
+	}
+
 	boolean isEnded() {
 		return this.state == State.ENDED;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -50,6 +50,9 @@
 
 	private String peerVm = "";
 
+	/** Whether the peer is in this node's failure domain; true until it said. */
+	private boolean near = true;
+
 	private HomeLoad load = HomeLoad.UNKNOWN;
 
 	/** Calls sent after the peer's last word on its load. */
@@ -108,7 +111,9 @@
 	 * @param message the message
 	 */
 	void send(LinkMessage message) {
-		this.channel.write(Unpooled.wrappedBuffer(LinkFrames.encode(message)));
+		byte[] frame = LinkFrames.encode(message);
+		this.links.fabric().metrics().sent(message.getSetField(), this.near, frame.length + Links.LENGTH_BYTES);
+		this.channel.write(Unpooled.wrappedBuffer(frame));
 		if (!this.flushing) {
 			this.flushing = true;
 			this.channel.eventLoop().execute(() -> {
@@ -198,6 +203,7 @@
 		this.peer = Addresses.parse(hello.getAddress())
 			.orElseThrow(() -> new TException("hello with address " + hello.getAddress()));
 		this.peerVm = hello.getVm();
+		this.near = hello.getFailureDomain().equals(this.links.fabric().settings().failureDomain());
 		this.links.opened(this, this.peerVm, this.outbound);
 	}
 
@@ -214,7 +220,7 @@
 	private void called(LinkCall call) {
 		IncomingCall accepted = new IncomingCall(this, call.getStream());
 		CallHead head = LinkFrames.head(call, this.links.fabric().now());
-		CallFlow flow = this.links.home().accept(head, accepted);
+		CallFlow flow = this.links.home().accept(head, this.peerVm, accepted);
 		accepted.use(flow);
 		if (!accepted.isEnded()) {
 			this.incoming.put(call.getStream(), accepted);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
@@ -77,13 +77,13 @@
 	static LinkCall wire(long stream, CallHead head, long now) {
 		return new LinkCall(stream, head.route(), head.target(), head.requestId(), head.method(), head.uri(),
 				head.headers(), (int) Math.max(0, head.deadlineAt() - now), (int) (head.objectiveAt() - now),
-				head.rank(), head.idempotent(), head.bodyLength(), head.repeat());
+				head.rank(), head.idempotent(), head.bodyLength(), head.repeat(), head.logged());
 	}
 
 	static CallHead head(LinkCall call, long now) {
 		return new CallHead(call.getRequestId(), call.getRoute(), call.getTarget(), call.getMethod(), call.getUri(),
 				call.getHeaders(), now + call.getRemainingMillis(), now + call.getObjectiveMillis(), call.getRank(),
-				call.isIdempotent(), call.isRepeat(), call.getBodyLength());
+				call.isIdempotent(), call.isRepeat(), call.isLogged(), call.getBodyLength());
 	}
 
 	static LinkReply wire(long stream, ReplyHead reply) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -60,7 +60,8 @@
 	/** How long a peer may be ahead before its documents are asked for. */
 	private static final long BEHIND_MILLIS = 250;
 
-	private static final int LENGTH_BYTES = 4;
+	/** Bytes that hold the length of a frame. */
+	static final int LENGTH_BYTES = 4;
 
 	private final Fabric fabric;
 
@@ -203,6 +204,7 @@
 	}
 
 	void died(Digest fingerprint, String target) {
+		this.fabric.log().log(LogEvent.TARGET_DIED, "target", target, "fingerprint", fingerprint);
 		this.quarantine.died(fingerprint, target, this.fabric.now());
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -19,6 +19,9 @@
 	/** The settings were read again. */
 	SETTINGS_RELOADED(5),
 
+	/** The settings were read again and cannot be used. */
+	SETTINGS_REFUSED(5),
+
 	/** The steady clock stood still while the wall clock went on. */
 	PAUSE_DETECTED(5),
 
@@ -61,36 +64,63 @@
 	/** A link to a peer was lost. */
 	LINK_LOST(20),
 
-	/** A request was answered; only a sample and late ones are logged. */
-	REQUEST_DONE(40),
+	/** A target is passed over, because another one answered at its address. */
+	TARGET_DISPLACED(10),
+
+	/** A target died while it ran a request. */
+	TARGET_DIED(10),
+
+	/** A request has a route and may be sent. */
+	REQUEST_ADMITTED,
 
-	/** A request was placed on a target; only a sample is logged. */
-	REQUEST_PLACED(20),
+	/** A target was chosen for a request. */
+	REQUEST_PLACED,
 
 	/** A request is sent to another target. */
-	REQUEST_RETRIED(40),
+	REQUEST_RETRIED,
 
 	/** A request was refused and has not run. */
-	REQUEST_REFUSED(60),
+	REQUEST_REFUSED,
 
 	/** A request failed and may have run. */
-	REQUEST_FAILED(60),
+	REQUEST_FAILED,
+
+	/** A request was answered by a target. */
+	REQUEST_DONE,
 
 	/** A caller left before its answer. */
-	REQUEST_CANCELLED(20),
+	REQUEST_CANCELLED,
+
+	/** A call waits at the home for a slot of the target. */
+	CALL_QUEUED,
 
 	/** The home refused a call that an entry had placed here. */
-	CALL_REFUSED(40),
+	CALL_REFUSED,
 
 	/** The target did not answer a call properly. */
-	CALL_FAILED(40);
+	CALL_FAILED,
+
+	/** The target answered a call. */
+	CALL_DONE,
+
+	/** The entry has given a call up. */
+	CALL_CANCELLED;
 
 	private final int linesPerSecond;
 
+	LogEvent() {
+		this(0);
+	}
+
 	LogEvent(int linesPerSecond) {
 		this.linesPerSecond = linesPerSecond;
 	}
 
+	/**
+	 * Returns the bound of an event about the node; those about requests have one
+	 * together.
+	 * @return lines in a second; 0 for an event about requests
+	 */
 	int linesPerSecond() {
 		return this.linesPerSecond;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -3,17 +3,21 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.DoubleSupplier;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.eelgrasspitch.proxy.generated.LinkMessage;
 
 /**
  * The metrics of a node. Labels have few values, all from enumerations.
@@ -49,6 +53,17 @@
 	private final DistributionDataPoint queueSeconds = histogram("queue_seconds",
 			"Time that calls waited at this home");
 
+	private final DistributionDataPoint hopSeconds = histogram("hop_seconds",
+			"Time from sending a call to the head of its answer, without the target's time");
+
+	private final Counter linkBytes = counter("link_bytes_total",
+			"Bytes sent to peers, without TCP and IP headers, by kind of message and by where the peer is", "kind",
+			"failure_domain");
+
+	private final Map<LinkMessage._Fields, CounterDataPoint> nearBytes = new EnumMap<>(LinkMessage._Fields.class);
+
+	private final Map<LinkMessage._Fields, CounterDataPoint> farBytes = new EnumMap<>(LinkMessage._Fields.class);
+
 	private final DistributionDataPoint targetSeconds = histogram("target_seconds",
 			"Time from the start of a call at the target to its end");
 
@@ -96,6 +111,22 @@
 		this.targetSeconds.observe(millis / MILLIS_PER_SECOND);
 	}
 
+	void hopTook(long millis) {
+		this.hopSeconds.observe(millis / MILLIS_PER_SECOND);
+	}
+
+	/**
+	 * Counts a message to a peer.
+	 * @param kind the kind of message
+	 * @param near whether the peer is in this node's failure domain
+	 * @param bytes its length
+	 */
+	void sent(LinkMessage._Fields kind, boolean near, int bytes) {
+		(near ? this.nearBytes : this.farBytes)
+			.computeIfAbsent(kind, (first) -> this.linkBytes.labelValues(word(first), near ? "own" : "other"))
+			.inc(bytes);
+	}
+
 	void linkLost() {
 		this.linksLost.inc();
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -1,6 +1,7 @@
 package org.eelgrasspitch.proxy;
 
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -10,6 +11,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.eelgrasspitch.misc.Closer;
+import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.misc.TimeSource;
 
 /**
@@ -32,6 +34,8 @@
 
 	private static final long DRAIN_POLL_MILLIS = 25;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private final Closer closer = new Closer();
 
 	private final Fabric fabric;
@@ -46,6 +50,8 @@
 
 	private final Source source;
 
+	private final BeliefKeeper beliefs;
+
 	/** Wall clock minus steady clock at the last comparison, in milliseconds. */
 	private long clockOffset;
 
@@ -56,17 +62,18 @@
 		EventLoop control = loop("control");
 		SecureRandom seed = new SecureRandom();
 		this.fabric = new Fabric(settings, names, traffic, time, new SplittableRandom(seed.nextLong()),
-				new DecisionLog(settings.vm(), time), new ProxyMetrics());
+				new DecisionLog(settings.vm(), time, settings.logDetail(), settings.logLinesPerSecond()),
+				new ProxyMetrics());
 		this.home = new Home(this.fabric);
 		this.links = new Links(this.fabric, this.home, seed.nextLong(1, Long.MAX_VALUE));
 		this.entry = new EntryService(this.fabric, this.home, this.links);
 		this.server = new EntryServer(this.entry);
 		this.source = sources.apply(control);
-		BeliefKeeper beliefs = new BeliefKeeper(control, time, decoder, this.fabric.log(),
+		this.beliefs = new BeliefKeeper(control, time, decoder, this.fabric.log(),
 				(view) -> traffic.execute(() -> use(view)), this.source::refresh);
-		control.execute(() -> this.source.start(beliefs));
+		control.execute(() -> this.source.start(this.beliefs));
 		watch();
-		this.links.start(beliefs);
+		this.links.start(this.beliefs);
 		this.server.start();
 		this.clockOffset = time.wallMillis() - time.monotonicMillis();
 		traffic.scheduleAtFixedRate(this::compareClocks, CLOCK_MILLIS, CLOCK_MILLIS, TimeUnit.MILLISECONDS);
@@ -91,11 +98,25 @@
 	}
 
 	/**
-	 * Notes that the settings file was read again. Addresses hold for the life of a node.
-	 * @param settings what it says now
+	 * Takes over settings that were read again: the detail of the log and the budget of
+	 * repeats. The others hold for the life of a node.
+	 * @param settings what the file says now
 	 */
 	public void reloaded(ProxySettings settings) {
-		this.fabric.log().log(LogEvent.SETTINGS_RELOADED, "changed", !settings.equals(this.fabric.settings()));
+		this.fabric.log().configure(settings.logDetail(), settings.logLinesPerSecond());
+		this.fabric.loop().execute(() -> this.entry.configure(settings));
+		this.fabric.log()
+			.log(LogEvent.SETTINGS_RELOADED, "changed", !settings.equals(this.fabric.settings()), "log_detail",
+					settings.logDetail(), "log_lines", settings.logLinesPerSecond(), "retry_ratio",
+					settings.retryRatio(), "retry_minimum", settings.retryMinimum());
+	}
+
+	/**
+	 * Notes that settings were read again and cannot be used. The former ones hold.
+	 * @param problems everything that is wrong with them
+	 */
+	public void refused(List<Problem> problems) {
+		this.fabric.log().log(LogEvent.SETTINGS_REFUSED, "problems", problems.size(), "first", problems.getFirst());
 	}
 
 	/**
@@ -170,9 +191,20 @@
 		metrics.watch("waiting_calls", "Calls that wait at this home", () -> this.home.load().waiting());
 		metrics.watch("target_failure_share", "Smoothed share of calls that the target failed",
 				() -> this.home.load().failurePercent() / 100.0);
+		metrics.watch("config_age_seconds", "Time since the configuration in force was learned",
+				() -> age(SourceChannel.CONFIG));
+		metrics.watch("targets_age_seconds", "Time since the targets last changed", () -> age(SourceChannel.TARGETS));
+		metrics.watch("source_lost", "1 while the source of documents does not answer",
+				() -> this.beliefs.isSourceLost() ? 1 : 0);
+		metrics.watch("log_sample_level", "One good request in two to the power of this is logged",
+				this.fabric.log()::sampleLevel);
 		metrics.watch("log_lines_dropped", "Log lines dropped and not yet reported", LineHandler::droppedLines);
 	}
 
+	private double age(SourceChannel channel) {
+		return (this.fabric.now() - this.entry.view().changedAt(channel)) / MILLIS_PER_SECOND;
+	}
+
 	private EventLoop loop(String name) {
 		EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory(name, true));
 		this.closer.register(() -> group.shutdownGracefully(0, END_MILLIS / 2, TimeUnit.MILLISECONDS)
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
@@ -14,15 +14,22 @@
  * @param metricsAddress where metrics are served
  * @param targetAddress where the target of this VM listens
  * @param sourceAddress where the published documents are read
- * @param drainMillis time after which a target that is leaving gets nothing new
  * @param stopMillis time from the signal to stop until the process is ended by force
  * @param retryRatio repeats allowed for each request, over the whole fleet
  * @param retryMinimum repeats allowed besides, in one window, over the whole fleet
  * @param retryWindowMillis length of that window
+ * @param logDetail how much is logged about requests
+ * @param logLinesPerSecond lines about requests in a second, usually at most
  */
 public record ProxySettings(String vm, String failureDomain, String service, InetSocketAddress entryAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress linkAddress, InetSocketAddress metricsAddress,
-		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, long drainMillis, long stopMillis,
-		double retryRatio, double retryMinimum, long retryWindowMillis) {
+		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, long stopMillis, double retryRatio,
+		double retryMinimum, long retryWindowMillis, LogDetail logDetail, int logLinesPerSecond) {
+
+	/**
+	 * Lines about requests in a second when the settings name none: at the traffic of a
+	 * node of the users' deployments, one request in four or more.
+	 */
+	public static final int DEFAULT_LOG_LINES = 40;
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -1,14 +1,12 @@
 package org.eelgrasspitch.proxy;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 
 import io.vavr.control.Either;
-import org.eelgrasspitch.misc.Addresses;
 import org.eelgrasspitch.misc.CollectingProblemListener;
 import org.eelgrasspitch.misc.ErrorType;
 import org.eelgrasspitch.misc.Fields;
@@ -32,7 +30,7 @@
 
 	private static final double MAX_RETRIES = 1_000_000;
 
-	private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
+	private static final int MAX_LOG_LINES = 10_000;
 
 	private ProxySettingsParser() {
 	}
@@ -70,23 +68,16 @@
 
 	private static ProxySettings settings(Fields fields) {
 		return new ProxySettings(fields.text("vm"), fields.text("failureDomain"), fields.text("service"),
-				address(fields, "entryAddress"), address(fields, "readinessAddress"), address(fields, "linkAddress"),
-				address(fields, "metricsAddress"), address(fields, "targetAddress"), address(fields, "sourceAddress"),
-				millis(fields, "drainSeconds"), millis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
-				fields.number("retryMinimum", 0, MAX_RETRIES), millis(fields, "retryWindowSeconds"));
+				fields.address("entryAddress"), fields.address("readinessAddress"), fields.address("linkAddress"),
+				fields.address("metricsAddress"), fields.address("targetAddress"), fields.address("sourceAddress"),
+				millis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
+				fields.number("retryMinimum", 0, MAX_RETRIES), millis(fields, "retryWindowSeconds"),
+				fields.word("logDetail", List.of(LogDetail.values()), LogDetail.DEFAULT),
+				fields.integer("logLinesPerSecond", 1, MAX_LOG_LINES, ProxySettings.DEFAULT_LOG_LINES));
 	}
 
 	private static long millis(Fields fields, String key) {
 		return Math.round(fields.number(key, 0, MAX_SECONDS) * MILLIS_PER_SECOND);
 	}
 
-	private static InetSocketAddress address(Fields fields, String key) {
-		String written = fields.text(key);
-		Optional<InetSocketAddress> address = Addresses.parse(written);
-		if (address.isEmpty() && !written.isEmpty()) {
-			fields.report(ErrorType.BAD_ADDRESS, fields.position(key), written);
-		}
-		return address.orElse(NO_ADDRESS);
-	}
-
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -1,56 +1,115 @@
 package org.eelgrasspitch.proxy;
 
+import java.util.List;
+import java.util.Locale;
+
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.eelgrasspitch.mesh.Candidate;
 import org.eelgrasspitch.mesh.MeshRoute;
+import org.eelgrasspitch.mesh.Placement;
 import org.eelgrasspitch.mesh.TargetEntry;
 
 /**
- * Writes the decisions that touch one request at its entry.
- *
- * @param log the decision log
- * @param requestId the caller's identifier of the request; empty when it has none
+ * Writes the decisions that touch one request at its entry. A request that is refused,
+ * fails, is sent again, is answered late or with an error is logged with all of them, any
+ * other one only if it is in the sample.
  */
-record RequestLog(DecisionLog log, String requestId) {
+final class RequestLog {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final RequestTrace trace;
+
+	RequestLog(DecisionLog log, String requestId) {
+		this.trace = new RequestTrace(log, requestId, log.keeps(requestId));
+	}
+
+	/**
+	 * Tells whether the home is to log the request whatever becomes of it.
+	 * @return true when it is
+	 */
+	boolean isKept() {
+		return this.trace.isKept();
+	}
 
-	void placed(MeshRoute route, int rank, TargetEntry target, View view, long leftMillis) {
-		this.log.log(LogEvent.REQUEST_PLACED, "request", this.requestId, "route", route.name(), "rank", rank, "target",
-				target.id(), "targets_revision", view.revisions()[SourceChannel.TARGETS.ordinal()], "left_ms",
-				leftMillis);
+	void admitted(MeshRoute route, String service, boolean internal, long allowedMillis, long elapsedMillis, View view,
+			long now) {
+		this.trace.note(LogEvent.REQUEST_ADMITTED, "route", route.name(), "service", service, "from",
+				internal ? "target" : "caller", "allowed_ms", allowedMillis, "elapsed_ms", elapsedMillis,
+				"config_version", view.config().version(), "config_age_ms", now - view.changedAt(SourceChannel.CONFIG));
+	}
+
+	void placed(MeshRoute route, int rank, Choice choice, View view, long leftMillis, long now) {
+		this.trace.note(LogEvent.REQUEST_PLACED, "route", route.name(), "rank", rank, "target", choice.target().id(),
+				"left_ms", leftMillis, "targets_revision", view.revisions()[SourceChannel.TARGETS.ordinal()],
+				"targets_age_ms", now - view.changedAt(SourceChannel.TARGETS), "candidates",
+				new Candidates(choice.candidates()));
 	}
 
 	void retried(MeshRoute route, TargetEntry target, CallFailure failure, int reached, int repeatsLeft) {
-		this.log.log(LogEvent.REQUEST_RETRIED, "request", this.requestId, "route", route.name(), "target", target.id(),
-				"reason", failure.reason().word(), "may_have_run", failure.mayHaveRun(), "reached", reached,
-				"repeats_left", repeatsLeft);
+		this.trace.tell(LogEvent.REQUEST_RETRIED, "route", route.name(), "target", target.id(), "reason",
+				failure.reason().word(), "may_have_run", failure.mayHaveRun(), "reached", reached, "repeats_left",
+				repeatsLeft);
 	}
 
 	void unavailable(String route, String service, String reason, int tried, long afterMillis, long returnMillis) {
-		this.log.log(LogEvent.REQUEST_REFUSED, "request", this.requestId, "route", route, "service",
-				String.valueOf(service), "reason", reason, "tried", tried, "after_ms", afterMillis, "return_ms",
-				returnMillis);
+		this.trace.tell(LogEvent.REQUEST_REFUSED, "route", route, "service", String.valueOf(service), "reason", reason,
+				"tried", tried, "after_ms", afterMillis, "return_ms", returnMillis);
 	}
 
 	void refused(CallerRequest request, HttpResponseStatus status, String reason) {
-		this.log.log(LogEvent.REQUEST_REFUSED, "request", this.requestId, "status", status.code(), "reason", reason,
-				"host", request.host(), "uri", request.uri());
+		this.trace.tell(LogEvent.REQUEST_REFUSED, "status", status.code(), "reason", reason, "host", request.host(),
+				"uri", request.uri());
 	}
 
 	void failed(String route, HttpResponseStatus status, FailureReason reason, int reached, long afterMillis,
 			boolean cut) {
-		this.log.log(LogEvent.REQUEST_FAILED, "request", this.requestId, "route", route, "status", status.code(),
-				"reason", (reason != null) ? reason.word() : "timeout", "reached", reached, "after_ms", afterMillis,
-				"cut", cut);
+		this.trace.tell(LogEvent.REQUEST_FAILED, "route", route, "status", status.code(), "reason",
+				(reason != null) ? reason.word() : "timeout", "reached", reached, "after_ms", afterMillis, "cut", cut);
 	}
 
-	void done(MeshRoute route, Attempt attempt, boolean late, long afterMillis, long targetMillis, int tried) {
-		this.log.log(LogEvent.REQUEST_DONE, "request", this.requestId, "route", route.name(), "target",
-				attempt.target().id(), "status", attempt.reply().status(), "late", late, "after_ms", afterMillis,
-				"target_ms", targetMillis, "tried", tried);
+	void done(MeshRoute route, Attempt attempt, boolean late, long afterMillis, long hopMillis, int tried) {
+		int status = attempt.reply().status();
+		if (!late && status < SERVER_ERROR && !isKept()) {
+			return;
+		}
+		this.trace.tell(LogEvent.REQUEST_DONE, "route", route.name(), "target", attempt.target().id(), "status", status,
+				"late", late, "after_ms", afterMillis, "hop_ms", hopMillis, "target_ms", attempt.reply().targetMillis(),
+				"tried", tried);
 	}
 
 	void cancelled(String route, long afterMillis, boolean sent) {
-		this.log.log(LogEvent.REQUEST_CANCELLED, "request", this.requestId, "route", route, "after_ms", afterMillis,
-				"sent", sent);
+		this.trace.tell(LogEvent.REQUEST_CANCELLED, "route", route, "after_ms", afterMillis, "sent", sent);
+	}
+
+	/**
+	 * Targets that were compared, turned to text only when the line is written.
+	 *
+	 * @param all the targets
+	 */
+	private record Candidates(List<Candidate> all) {
+
+		/** Most targets written; the rest is only counted. */
+		private static final int MOST = 8;
+
+		@Override
+		public String toString() {
+			StringBuilder text = new StringBuilder();
+			this.all.stream().limit(MOST).forEach((candidate) -> text.append(describe(candidate)).append("; "));
+			if (this.all.size() > MOST) {
+				text.append(this.all.size() - MOST).append(" more");
+			}
+			return text.toString();
+		}
+
+		private static String describe(Candidate candidate) {
+			return "%s %s %s running=%d/%d waiting=%d sent=%d failing=%d%% expected_ms=%.0f age_ms=%d".formatted(
+					candidate.id(), candidate.near() ? "near" : "far",
+					candidate.load().state().name().toLowerCase(Locale.ROOT), candidate.load().running(),
+					candidate.load().slots(), candidate.load().waiting(), candidate.sentSince(),
+					candidate.load().failurePercent(), Placement.expectedMillis(candidate), candidate.ageMillis());
+		}
+
 	}
 
 }
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -46,6 +46,8 @@
   // -1: no length is known
   12: required i64 bodyLength
   13: required bool repeat
+  // Whether the home is to log the call whatever becomes of it.
+  14: required bool logged
 }
 
 // A piece of a body, in either direction.
