Send requests to another failure domain only where they are served twice as fast

As soon as the near target was expected to take more than half of the objective, the lowest expected time of all was taken, so in a burst over all failure domains two requests of three crossed, for a gain of a few milliseconds.

Change: a near target that is sound is left only for a far one with less than half of its expected time. One that fails part of its requests is compared as before.

Test: requestsStayAtHomeWhenEveryFailureDomainIsOverloaded failed before with 599 of 1000 sent away; requestsLeaveAFailureDomainThatAloneIsOverloaded keeps the other side.

--- a/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
@@ -12,7 +12,7 @@
  * sent there since, plus the service time, which is longer on a target that is still cold
  * or that fails part of its requests. Targets of the entry's own failure domain are
  * preferred while one of them would answer well within the objective, since traffic
- * between failure domains is paid for; otherwise the fastest of all is taken.
+ * between failure domains is paid for; otherwise a far one is taken if it is much faster.
  * <p>
  * Load pattern answered: the targets of one failure domain are slow or overloaded while
  * others have room. With the rule of least requests in flight, a slow target gets as many
@@ -29,6 +29,13 @@
 	/** Share of the objective within which a near target counts as good enough. */
 	private static final double NEAR_SHARE = 0.5;
 
+	/**
+	 * Share of a near target's expected time that a far one must undercut. When every
+	 * failure domain is overloaded, the far ones are hardly better, and sending requests
+	 * back and forth helps no caller.
+	 */
+	private static final double FAR_GAIN = 0.5;
+
 	/** Failure share, in percent, from which a near target is no longer preferred. */
 	private static final int NEAR_FAILURE_PERCENT = 12;
 
@@ -64,15 +71,16 @@
 			.filter((candidate) -> candidate.load().state() == HomeLoad.State.UP)
 			.toList();
 		Candidate near = best(up.stream().filter(Candidate::near).toList());
-		if (near != null && near.load().failurePercent() < NEAR_FAILURE_PERCENT
-				&& expectedMillis(near) <= NEAR_SHARE * objectiveMillis) {
+		boolean sound = near != null && near.load().failurePercent() < NEAR_FAILURE_PERCENT;
+		if (sound && expectedMillis(near) <= NEAR_SHARE * objectiveMillis) {
 			return Optional.of(near);
 		}
 		Candidate far = best(up.stream().filter((candidate) -> !candidate.near()).toList());
 		if (near == null || far == null) {
 			return Optional.ofNullable((near != null) ? near : far);
 		}
-		return Optional.of((expectedMillis(far) < expectedMillis(near)) ? far : near);
+		double bound = (sound ? FAR_GAIN : 1) * expectedMillis(near);
+		return Optional.of((expectedMillis(far) < bound) ? far : near);
 	}
 
 	/**
--- a/core/src/test/java/org/eelgrasspitch/mesh/PlacementTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/PlacementTests.java
@@ -29,6 +29,31 @@
 		Assert.assertEquals(choose(near(load(2, 0, 0, 900, 0)), far(load(4, 0, 0, 150, 0))), "far");
 	}
 
+	@Test
+	public void requestsStayAtHomeWhenEveryFailureDomainIsOverloaded() {
+		// The load of a burst in all failure domains: queues of 8 to 16 at each target.
+		SplittableRandom random = new SplittableRandom(7);
+		int far = 0;
+		for (int i = 0; i < 1_000; i++) {
+			String choice = choose(near(queued(random, 8)), far(queued(random, 8)), far(queued(random, 8)));
+			far += choice.equals("far") ? 1 : 0;
+		}
+		Assert.assertTrue(far <= 50, "requests in 1000 sent to another failure domain: " + far);
+	}
+
+	@Test
+	public void requestsLeaveAFailureDomainThatAloneIsOverloaded() {
+		SplittableRandom random = new SplittableRandom(8);
+		for (int i = 0; i < 100; i++) {
+			Assert.assertEquals(choose(near(queued(random, 12)), far(load(6, 0, 0, 200, 0))), "far");
+		}
+	}
+
+	private static HomeLoad queued(SplittableRandom random, int least) {
+		int waiting = random.nextInt(least, 17);
+		return load(9, waiting, 200 * waiting / 9, 200, 0);
+	}
+
 	@Test
 	public void aTargetThatFailsPartOfItsRequestsIsNot() {
 		Assert.assertEquals(choose(near(load(1, 0, 0, 100, 45)), far(load(3, 0, 0, 100, 0))), "far");
