Give callers' requests the rank of their route again: tell calls of targets by the request that runs

Requests of targets were told by their address, but callers on a VM have the same one. So everything had the rank of calls of targets, queues went by objective alone, payments waited behind lookups, the time that returning callers had already spent was never inferred, and any request that began on a VM whose target ran a repeat was charged to the budget of repeats. No test saw it: the stand-ins' requesters connected from another address.

Ruled out: telling them by route (the operators' documents don't mark such routes) or by connection (both reuse theirs).

Change: a request is a call of the target if its identifier extends that of a request that runs at this VM's target at that moment; anything else has the rank of its route. The identifier alone decides nothing. A call made for a repeat counts as a repeat, exactly instead of by share. The stand-ins' requesters have their VM's address now. New metric target_requests_total.

Test: "Only calls for a request that runs here count as the server's" failed with the old rule (6 counted instead of 1) and passes.

--- a/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
@@ -13,8 +13,7 @@
  * node uses the share of its own requests and its part of the fixed number, divided by
  * the nodes that it believes exist. It keeps to {@link #CAUTION} of both, because nodes
  * may disagree about their number. Calls that a target makes while it runs a repeated
- * request are repeats of calls, too: the node beside that target counts them by the share
- * of repeats among the requests that run there.
+ * request are repeats of calls, too: the node beside that target counts them.
  * <p>
  * Load pattern answered: every target of a service fails while callers repeat on their
  * own; without the bound, each layer multiplies the load of the one above.
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.eelgrasspitch.proxy;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -80,15 +79,6 @@
 		this.server.opened(this);
 	}
 
-	/**
-	 * Tells whether the target of this VM is the caller.
-	 * @return true when the connection comes from the target's own address
-	 */
-	boolean isFromTarget() {
-		return this.channel.remoteAddress() instanceof InetSocketAddress remote
-				&& remote.getAddress().equals(this.service.fabric().settings().targetAddress().getAddress());
-	}
-
 	/**
 	 * Notes that the first bytes of a request have arrived.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -216,14 +216,24 @@
 	}
 
 	/**
-	 * Notes the first send of a request.
+	 * Tells whether the target of this VM makes a call while it runs a request. Callers
+	 * on this VM have the same address.
+	 * @param requestId identifier of what was received
+	 * @return true when the target runs the request for which it is made
+	 */
+	boolean isCall(String requestId) {
+		return RequestIds.parent(requestId).filter(this.home::runs).isPresent();
+	}
+
+	/**
+	 * Notes the first send of a request. A call that is made for a repeat counts as one.
 	 * @param service the service that it is sent to
-	 * @param internal whether the target of this VM sends it while it runs a request
+	 * @param requestId its identifier
 	 */
-	void firstSend(String service, boolean internal) {
+	void firstSend(String service, String requestId) {
 		this.budget.sent(service, this.fabric.now());
-		if (internal) {
-			this.budget.repeated(service, this.home.repeatShare(), this.fabric.now());
+		if (RequestIds.parent(requestId).filter(this.home::runsRepeat).isPresent()) {
+			this.budget.repeated(service, 1, this.fabric.now());
 		}
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -148,8 +148,11 @@
 		this.route = found;
 		this.destination = this.service.service(found);
 		long allowed = this.request.allowedMillis().orElse(found.timeoutMillis());
-		boolean internal = this.connection.isFromTarget();
+		boolean internal = this.service.isCall(this.request.id());
 		this.rank = internal ? HomeQueue.CALL_RANK : found.rank();
+		if (internal) {
+			this.service.fabric().metrics().targetRequested();
+		}
 		// A call of a target allows what its own caller has left, which says nothing of
 		// repeats.
 		long elapsed = internal ? 0 : this.service.elapsedMillis(found, allowed);
@@ -254,7 +257,7 @@
 		Attempt started = new Attempt(this, target, now);
 		this.attempt = started;
 		if (this.tried.size() == 1) {
-			this.service.firstSend(this.destination, this.rank == HomeQueue.CALL_RANK);
+			this.service.firstSend(this.destination, this.request.id());
 		}
 		started.use(this.service.open(target, head, started));
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -95,8 +97,10 @@
 
 	private double failureShare;
 
-	/** Calls that run and that another target has received before. */
-	private int runningRepeats;
+	/**
+	 * Calls that run, by identifier: whether another target has received them before.
+	 */
+	private final Map<String, Boolean> running = new HashMap<>();
 
 	private boolean ticking;
 
@@ -139,11 +143,21 @@
 	}
 
 	/**
-	 * Returns the share of repeats among the calls that run.
-	 * @return the share, 0 to 1
+	 * Tells whether the target runs a request.
+	 * @param requestId its identifier
+	 * @return true from its start to its end
+	 */
+	boolean runs(String requestId) {
+		return this.running.containsKey(requestId);
+	}
+
+	/**
+	 * Tells whether the target runs a request that another one has received before.
+	 * @param requestId its identifier
+	 * @return true from its start to its end
 	 */
-	double repeatShare() {
-		return Math.min(1, this.runningRepeats / (double) Math.max(1, this.queue.running()));
+	boolean runsRepeat(String requestId) {
+		return this.running.getOrDefault(requestId, false);
 	}
 
 	int inProgress() {
@@ -298,7 +312,7 @@
 	}
 
 	private void ended(HomeCall call) {
-		this.runningRepeats -= call.head().repeat() ? 1 : 0;
+		this.running.remove(call.head().requestId());
 		released();
 	}
 
@@ -338,7 +352,7 @@
 	 * @param call the call
 	 */
 	void permitted(HomeCall call) {
-		this.runningRepeats += call.head().repeat() ? 1 : 0;
+		this.running.put(call.head().requestId(), call.head().repeat());
 		this.fabric.metrics().callStarted(now() - call.receivedAt());
 		TargetConnection connection = takeIdle(call.head().idempotent());
 		if (connection != null) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -45,6 +45,9 @@
 
 	private final Counter calls = counter("calls_total", "Calls at this home by what became of them", "outcome");
 
+	private final Counter targetRequests = counter("target_requests_total",
+			"Requests that the target of this VM made while it ran others");
+
 	private final Counter linksLost = counter("links_lost_total", "Links to peers that were lost");
 
 	private final DistributionDataPoint requestSeconds = histogram("request_seconds",
@@ -127,6 +130,10 @@
 			.inc(bytes);
 	}
 
+	void targetRequested() {
+		this.targetRequests.inc();
+	}
+
 	void linkLost() {
 		this.linksLost.inc();
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/SampleRate.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/SampleRate.java
@@ -18,9 +18,6 @@
 	/** The level falls when fewer lines than this part of the bound were written. */
 	private static final int LOW_PART = 4;
 
-	/** Separates the identifier of a request from those of calls made for it. */
-	private static final char CALL_SEPARATOR = '.';
-
 	private int level = START_LEVEL;
 
 	private long second;
@@ -34,7 +31,7 @@
 	 * @return true when it belongs to the sample
 	 */
 	synchronized boolean keeps(String requestId) {
-		return Integer.numberOfTrailingZeros(mixed(root(requestId).hashCode())) >= this.level;
+		return Integer.numberOfTrailingZeros(mixed(RequestIds.root(requestId).hashCode())) >= this.level;
 	}
 
 	/**
@@ -65,11 +62,6 @@
 		this.level = (int) Math.max(0, this.level - Math.min(quiet, MAX_LEVEL));
 	}
 
-	private static String root(String requestId) {
-		int end = requestId.indexOf(CALL_SEPARATOR);
-		return (end > 0) ? requestId.substring(0, end) : requestId;
-	}
-
 	/**
 	 * Spreads a hash over all bits, by the last step of the Murmur3 hash.
 	 * @param hash the hash
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -202,6 +202,11 @@
 		this.world.publish(prefix, service);
 	}
 
+	@When("a requester at {word} sends GET {word} as {word} and does not wait")
+	public void sendAs(String vm, String path, String id) throws IOException {
+		this.world.caller(vm).request("GET", HOST, path, id, TIMEOUT_MILLIS, "");
+	}
+
 	@When("the operators add {int} routes to {word}")
 	public void addRoutes(int count, String service) {
 		this.world.publishMany(count, service);
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -170,7 +170,9 @@
 	}
 
 	RawCaller caller(String vm) throws IOException {
-		return this.closer.register(new RawCaller(address(vm, this.entryPort)));
+		InetSocketAddress entry = address(vm, this.entryPort);
+		// Requesters and the server of a VM share its address.
+		return this.closer.register(new RawCaller(entry, entry.getAddress()));
 	}
 
 	/**
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -189,6 +189,19 @@
     Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
     And the server at desk-a refused at most 2 requests as misdirected
 
+  Scenario: Only calls for a request that runs here count as the server's, though requesters have its address
+    When a requester at desk-a sends GET /desk/ok
+    And a requester at desk-a sends GET /desk/wait1500 as parent and does not wait
+    And 200 ms pass
+    And a requester at desk-a sends GET /desk/ok as parent.1 and does not wait
+    And a requester at desk-a sends GET /desk/ok as other.1 and does not wait
+    And 300 ms pass
+    Then the metrics of desk-a say "eelgrasspitch_proxy_target_requests_total 1.0"
+    When 1500 ms pass
+    And a requester at desk-a sends GET /desk/ok as parent.2 and does not wait
+    And 200 ms pass
+    Then the metrics of desk-a say "eelgrasspitch_proxy_target_requests_total 1.0"
+
   Scenario: Metrics count requests by what became of them
     When a requester at desk-a sends GET /desk/ok
     And a requester at desk-a sends POST /pay/lost
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -27,7 +28,21 @@
 	 * @throws IOException if the connection cannot be opened
 	 */
 	public RawCaller(InetSocketAddress entry) throws IOException {
-		this.socket = new Socket(entry.getAddress(), entry.getPort());
+		this(new Socket(entry.getAddress(), entry.getPort()));
+	}
+
+	/**
+	 * Connects from a local address.
+	 * @param entry the entry's address
+	 * @param from the address to connect from
+	 * @throws IOException if the connection cannot be opened
+	 */
+	public RawCaller(InetSocketAddress entry, InetAddress from) throws IOException {
+		this(new Socket(entry.getAddress(), entry.getPort(), from, 0));
+	}
+
+	private RawCaller(Socket socket) throws IOException {
+		this.socket = socket;
 		this.socket.setSoTimeout(READ_MILLIS);
 		this.input = new BufferedInputStream(this.socket.getInputStream());
 	}
