--- a/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
+++ b/cli/src/test/java/org/eelgrasspitch/cli/ExplanationTests.java
@@ -1,5 +1,8 @@
 package org.eelgrasspitch.cli;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 
 import org.testng.Assert;
@@ -92,6 +95,21 @@
 		Assert.assertTrue(json.contains("\"unreadable\":[\"log:3\"],\"cause\":\"no entry's end"), json);
 	}
 
+	@Test
+	public void explainsRecordedRequestsOfThreeKinds() throws IOException {
+		Assert.assertEquals(recorded("refused", "dbe8671cf416e310"),
+				"cause: refused without having run after 19 ms: overloaded (targets tried: 3)");
+		Assert.assertEquals(recorded("unknown", "94feaa4a65b3d30e"),
+				"cause: failed with status 502 after 2025 ms and may have run: link_lost (targets reached: 1)");
+		Assert.assertEquals(recorded("no-route", "22de035e870fd91b"),
+				"cause: refused without having run: no route (targets tried: 0)");
+	}
+
+	private static String recorded(String name, String request) throws IOException {
+		Path log = Path.of("src", "test", "resources", "explain", name + ".log");
+		return tell(request, Files.readAllLines(log).toArray(String[]::new)).getLast();
+	}
+
 	@Test
 	public void saysWhenNoLogHasTheRequest() {
 		Explanation explanation = new Explanation("q9");
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -58,8 +58,9 @@
 	}
 
 	void refused(CallerRequest request, HttpResponseStatus status, String reason) {
+		// A query may hold what is nobody's business; no route depends on it.
 		this.trace.tell(LogEvent.REQUEST_REFUSED, "status", status.code(), "reason", reason, "host", request.host(),
-				"uri", request.uri());
+				"path", request.uri().split("\\?", 2)[0]);
 	}
 
 	void failed(String route, HttpResponseStatus status, FailureReason reason, int reached, long afterMillis,
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -163,7 +164,12 @@
 		RequestLog request = new RequestLog(log, "q1");
 		request.unavailable("route", "service", "overloaded", 1, 2, 3);
 		request.failed("route", HttpResponseStatus.BAD_GATEWAY, FailureReason.LINK_LOST, 1, 2, false);
-		Assert.assertEquals(this.lines.size(), 6);
+		request.refused(
+				new CallerRequest("q1", "GET", "/x?token=secret", "a.example", List.of("Cookie", "secret"),
+						CallHead.NO_BODY, Optional.empty(), true, Optional.empty()),
+				HttpResponseStatus.NOT_FOUND, "no route");
+		Assert.assertEquals(this.lines.size(), 7);
+		Assert.assertTrue(this.lines.getLast().contains("\"path\":\"/x\""), this.lines.getLast());
 		this.lines.forEach((line) -> Assert.assertFalse(line.contains("secret"), line));
 	}
 
