Count the wait for peers from when this process runs, not from when it was created

The log of the node that went back has "paused", "no event for 1524 ms", as its first event and the old text 160 ms later: constructing the node took longer than startMillis, so the wait for peers was over before anybody had been asked, and the stale platform was believed. This breaks "never goes back" whenever a start is slow, on any machine.

Ruled out: peers that answered late (none had been asked yet); a larger startMillis (only moves the bound).

Change: time in which no event was handled for more than three ticks does not count as waiting.

Test: descriptor life/slow-start-while-platform-is-stale published text 5 after 7 before the change and does not now.

--- a/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/FleetMember.java
@@ -49,6 +49,9 @@
 
 	private static final long QUERY_INTERVAL_MILLIS = 1_000;
 
+	/** Ticks that may be missed before this process counts as held up. */
+	private static final int HELD_UP_TICKS = 3;
+
 	private final FleetSettings settings;
 
 	private final RandomGenerator random;
@@ -76,6 +79,9 @@
 	/** When the latest event was handled. */
 	private long handledAt;
 
+	/** Time in which this process was held up, as by a slow start, and asked nobody. */
+	private long heldUpMillis;
+
 	/** When a query was last sent because of a mentioned revision. */
 	private long mentionedAt;
 
@@ -147,6 +153,7 @@
 	private void detectPause(long now) {
 		long gap = now - this.handledAt;
 		this.handledAt = now;
+		this.heldUpMillis += Math.max(0, gap - HELD_UP_TICKS * this.settings.tickMillis());
 		if (gap < this.settings.pauseMillis()) {
 			return;
 		}
@@ -387,7 +394,7 @@
 			return;
 		}
 		boolean asked = this.holdings.vms().held().isPresent() && this.links.isSettled() && now > this.startedAt;
-		if (!asked && now - this.startedAt < this.settings.startMillis()) {
+		if (!asked && now - this.startedAt - this.heldUpMillis < this.settings.startMillis()) {
 			return;
 		}
 		this.startGateOpen = true;
