Decide the end of a node where requests are taken, and refuse what crosses it

A node took requests until 2.8 s and could end from 2.3 s on as soon as nothing was in progress. The thread that waits for the end looked at two counters of the event loop from outside, and closed; whatever was read in between, or after its look, was cut off.

Ruled out: the time allowed for the end (3 s were left); the target.

Change: the event loop of the traffic decides: if nothing is in progress it refuses everything from then on, with the time to come back, and the process ends 100 ms later, so that a request that crosses the end is answered.

Test: "A request that crosses the end of a node is answered or refused" presses six callers against the end. It is a stress test and was not seen to fail before the change.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -62,6 +62,9 @@
 
 	private int active;
 
+	/** Whether nothing more is taken, since nothing is in progress. */
+	private boolean ended;
+
 	/** When this node was told to stop; 0 before. */
 	private long stoppingSince;
 
@@ -115,13 +118,20 @@
 	 * @return true shortly before the end
 	 */
 	boolean isEnding() {
-		return isStopping() && this.fabric.now() - this.stoppingSince > TAKING_MILLIS;
+		return this.ended || (isStopping() && this.fabric.now() - this.stoppingSince > TAKING_MILLIS);
 	}
 
 	void stop() {
 		this.stoppingSince = this.fabric.now();
 	}
 
+	/**
+	 * Refuses every request from now on.
+	 */
+	void end() {
+		this.ended = true;
+	}
+
 	int active() {
 		return this.active;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -34,6 +34,9 @@
 
 	private static final long DRAIN_POLL_MILLIS = 25;
 
+	/** Time in which requests that cross the end are still refused. */
+	private static final long LAST_WORD_MILLIS = 100;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private final Closer closer = new Closer();
@@ -131,11 +134,12 @@
 		this.fabric.loop().schedule(this.server::closeIdle, LEAD_AWAY_MILLIS, TimeUnit.MILLISECONDS);
 		long leadAwayUntil = began + LEAD_AWAY_MILLIS;
 		while (this.fabric.now() < lastAt) {
-			pause();
-			if (this.fabric.now() >= leadAwayUntil && inProgress() == 0) {
+			pause(DRAIN_POLL_MILLIS);
+			if (this.fabric.now() >= leadAwayUntil && endsNow()) {
 				break;
 			}
 		}
+		pause(LAST_WORD_MILLIS);
 		this.fabric.log().log(LogEvent.NODE_STOPPED, "in_progress", inProgress(), "took_ms", this.fabric.now() - began);
 		close();
 	}
@@ -155,9 +159,26 @@
 		return this.home.inProgress() + this.entry.active();
 	}
 
-	private static void pause() {
+	/**
+	 * Decides on the event loop of the traffic, so that no request is taken between the
+	 * look at what is in progress and the end.
+	 * @return true when nothing is in progress and nothing more is taken
+	 */
+	private boolean endsNow() {
+		return this.fabric.loop().submit(this::endIfIdle).syncUninterruptibly().getNow();
+	}
+
+	private boolean endIfIdle() {
+		if (inProgress() > 0) {
+			return false;
+		}
+		this.entry.end();
+		return true;
+	}
+
+	private static void pause(long millis) {
 		try {
-			TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -21,7 +21,7 @@
  */
 public class PlatformSteps {
 
-	private static final String HOST = "m.example";
+	static final String HOST = "m.example";
 
 	private static final long TIMEOUT_MILLIS = 3_000;
 
@@ -37,6 +37,8 @@
 
 	private long tookMillis;
 
+	private final PressingCallers pressing = new PressingCallers();
+
 	private int nextId;
 
 	private String lastId;
@@ -335,6 +337,18 @@
 		}
 	}
 
+	@When("{int} requesters at {word} send GET {word} without a pause until the node ends")
+	public void pressUntilTheEnd(int count, String vm, String path) {
+		this.pressing.press(this.world, count, vm, path);
+	}
+
+	@Then("no request that ran at {} was left without an answer")
+	public void everyRunAnswered(String vms) {
+		for (String vm : vms.split(" ")) {
+			Assert.assertEquals(this.pressing.unansweredAt(this.world.server(vm)), List.of(), "at " + vm);
+		}
+	}
+
 	@Then("the metrics of {word} say {string}")
 	public void metrics(String vm, String line) throws IOException {
 		String metrics = this.world.observed(vm, "/metrics");
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -183,6 +183,12 @@
     And a requester at desk-a keeps sending GET /desk/wait2500 until the node ends
     Then none of its requests was cut off
 
+  Scenario: A request that crosses the end of a node is answered or refused
+    When the node at pay-a is told to stop
+    And 2200 ms pass
+    And 6 requesters at pay-a send GET /desk/ok without a pause until the node ends
+    Then no request that ran at desk-a desk-b was left without an answer
+
   Scenario: Another server has the address
     When somebody else takes over the address of desk-a
     And a requester at pay-a sends GET /desk/ok
