Read documents, write words of constants and pass headers in one piece of code each

Found and mended, behaviour as before: - Reading a JSON document into a value with all its problems stood in five places, two of them with the same reading of a file (TextTool, SettingsParser, ProxySettingsParser, PlatformDecoder, StoreDocument). DocumentReader serves them all. - The word of a constant was written in nine places; Words.of is one. Words that logs write often are kept with their constants. - Status 500 and more, whether a body follows, the fields of a stand-in's message, and sleeping in stand-ins and steps had two or three copies. - Before a repeat a target was chosen only to see whether there is one, and then chosen again; the first is a look now (hasChoice). - What is in progress at the end is asked on the event loop in one way, also for the line node_stopped, which still looked from another thread. - Headers.find was dead; Placement.SAMPLE was public for nobody.

Looked at and left: generated Thrift code repeats itself by its nature; BeliefReport writes its members by hand, since data binding would load hundreds of classes into a node of 40 MB (it says so now).

--- a/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
+++ b/cli/src/main/java/org/eelgrasspitch/cli/CheckCommand.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Locale;
 
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -12,6 +11,7 @@
 import org.eelgrasspitch.misc.CollectingProblemListener;
 import org.eelgrasspitch.misc.Hints;
 import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.misc.Words;
 import org.eelgrasspitch.testkit.Json;
 import org.eelgrasspitch.text.TextTool;
 
@@ -77,8 +77,7 @@
 
 		static Report of(Problem problem) {
 			return new Report(problem.position().line(), problem.position().column(), problem.type().code(),
-					problem.type().severity().name().toLowerCase(Locale.ROOT), problem.message(),
-					Hints.of(problem.type()));
+					Words.of(problem.type().severity()), problem.message(), Hints.of(problem.type()));
 		}
 
 	}
--- a/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Candidate.java
@@ -14,4 +14,12 @@
 public record Candidate(String id, boolean near, HomeLoad load, int sentSince, double serviceMillis, long coldMillis,
 		long ageMillis) {
 
+	/**
+	 * Tells whether it takes requests.
+	 * @return true when its home says so
+	 */
+	public boolean isUp() {
+		return this.load.state() == HomeLoad.State.UP;
+	}
+
 }
--- a/core/src/main/java/org/eelgrasspitch/mesh/HomeLoad.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/HomeLoad.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.mesh;
 
+import org.eelgrasspitch.misc.Words;
+
 /**
  * What a home says of its target and its own queue. It travels with every reply and every
  * heartbeat, so entries place requests on what the homes know rather than on guesses.
@@ -32,16 +34,14 @@
 		/** It, or its home, is about to stop. */
 		LEAVING;
 
+		private final String word = Words.of(this);
+
 		/**
 		 * Returns the state as logs write it.
 		 * @return a word in lower case
 		 */
 		public String word() {
-			return switch (this) {
-				case UP -> "up";
-				case DOWN -> "down";
-				case LEAVING -> "leaving";
-			};
+			return this.word;
 		}
 
 	}
--- a/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/Placement.java
@@ -24,7 +24,7 @@
 public final class Placement {
 
 	/** Candidates compared on each side; more gains little over the power of two. */
-	public static final int SAMPLE = 4;
+	private static final int SAMPLE = 4;
 
 	/** Share of the objective within which a near target counts as good enough. */
 	private static final double NEAR_SHARE = 0.5;
@@ -67,9 +67,7 @@
 	 * @return the choice, or empty when no candidate takes requests
 	 */
 	public Optional<Candidate> choose(List<Candidate> candidates, long objectiveMillis) {
-		List<Candidate> up = candidates.stream()
-			.filter((candidate) -> candidate.load().state() == HomeLoad.State.UP)
-			.toList();
+		List<Candidate> up = candidates.stream().filter(Candidate::isUp).toList();
 		Candidate near = best(up.stream().filter(Candidate::near).toList());
 		boolean sound = near != null && near.load().failurePercent() < NEAR_FAILURE_PERCENT;
 		if (sound && expectedMillis(near) <= NEAR_SHARE * objectiveMillis) {
--- a/core/src/main/java/org/eelgrasspitch/misc/Problem.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/Problem.java
@@ -2,7 +2,6 @@
 
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * One error or warning about an input, with its place.
@@ -34,8 +33,7 @@
 
 	@Override
 	public String toString() {
-		return this.position + ": " + this.type.severity().name().toLowerCase(Locale.ROOT) + "(" + this.type.code()
-				+ "): " + message();
+		return this.position + ": " + Words.of(this.type.severity()) + "(" + this.type.code() + "): " + message();
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/eelgrasspitch/misc/Words.java
@@ -0,0 +1,22 @@
+package org.eelgrasspitch.misc;
+
+import java.util.Locale;
+
+/**
+ * Writes constants as logs, metrics and messages do.
+ */
+public final class Words {
+
+	private Words() {
+	}
+
+	/**
+	 * Returns the word for a constant.
+	 * @param constant the constant
+	 * @return its name in lower case
+	 */
+	public static String of(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- a/core/src/main/java/org/eelgrasspitch/text/TextDiff.java
+++ b/core/src/main/java/org/eelgrasspitch/text/TextDiff.java
@@ -3,10 +3,11 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 
+import org.eelgrasspitch.misc.Words;
+
 /**
  * Lists what a new text changes.
  * <p>
@@ -111,8 +112,7 @@
 
 		@Override
 		public String toString() {
-			return this.kind.name().toLowerCase(Locale.ROOT) + " " + this.what
-					+ (this.detail.isEmpty() ? "" : ": " + this.detail);
+			return Words.of(this.kind) + " " + this.what + (this.detail.isEmpty() ? "" : ": " + this.detail);
 		}
 
 	}
--- a/core/src/main/java/org/eelgrasspitch/text/TextTool.java
+++ b/core/src/main/java/org/eelgrasspitch/text/TextTool.java
@@ -4,8 +4,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
-import org.eelgrasspitch.misc.CollectingProblemListener;
-import org.eelgrasspitch.misc.LocatedNode;
+import org.eelgrasspitch.misc.DocumentReader;
 import org.eelgrasspitch.misc.LocatedReader;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.misc.ProblemListener;
@@ -46,7 +45,7 @@
 	 * @return the compiled text, or its problems
 	 */
 	public static Either<List<Problem>, Checked<Snapshot>> text(long revision, byte[] content) {
-		return check(content, (root, listener) -> new TextParser(listener).parse(root)).map((text) -> {
+		return parsedText(content).map((text) -> {
 			Document document = Document.of(Channel.TEXT, revision, DocumentSplitter.split(Channel.TEXT, content));
 			return new Checked<>(document, new Snapshot(document.version(), text));
 		});
@@ -59,7 +58,7 @@
 	 * @return the list, or its problems
 	 */
 	public static Either<List<Problem>, Checked<VmList>> vms(long revision, byte[] content) {
-		return check(content, (root, listener) -> new VmListParser(listener).parse(root)).map((vms) -> {
+		return parsedVms(content).map((vms) -> {
 			Document document = Document.of(Channel.VMS, revision, DocumentSplitter.split(Channel.VMS, content));
 			return new Checked<>(document, vms);
 		});
@@ -72,7 +71,7 @@
 	 * @return the compiled text, or its problems
 	 */
 	public static Either<List<Problem>, Checked<Snapshot>> text(Document document) {
-		return check(DocumentSplitter.join(document), (root, listener) -> new TextParser(listener).parse(root))
+		return parsedText(DocumentSplitter.join(document))
 			.map((text) -> new Checked<>(document, new Snapshot(document.version(), text)));
 	}
 
@@ -83,30 +82,17 @@
 	 * @return the list, or its problems
 	 */
 	public static Either<List<Problem>, Checked<VmList>> vms(Document document) {
-		return check(DocumentSplitter.join(document), (root, listener) -> new VmListParser(listener).parse(root))
-			.map((vms) -> new Checked<>(document, vms));
+		return parsedVms(DocumentSplitter.join(document)).map((vms) -> new Checked<>(document, vms));
 	}
 
-	private static <T> Either<List<Problem>, T> check(byte[] content, Stage<T> stage) {
-		CollectingProblemListener listener = new CollectingProblemListener();
-		Optional<T> value = new LocatedReader(MAX_DOCUMENT_BYTES, listener).read(content)
-			.flatMap((root) -> stage.parse(root, listener));
-		if (value.isEmpty() || listener.hasErrors()) {
-			return Either.left(listener.problems());
-		}
-		return Either.right(value.get());
+	private static Either<List<Problem>, MeshText> parsedText(byte[] content) {
+		return DocumentReader.read(content, MAX_DOCUMENT_BYTES,
+				(root, listener) -> new TextParser(listener).parse(root));
 	}
 
-	/**
-	 * Turns located JSON into a typed value.
-	 *
-	 * @param <T> type of the value
-	 */
-	@FunctionalInterface
-	private interface Stage<T> {
-
-		Optional<T> parse(LocatedNode root, ProblemListener listener);
-
+	private static Either<List<Problem>, VmList> parsedVms(byte[] content) {
+		return DocumentReader.read(content, MAX_DOCUMENT_BYTES,
+				(root, listener) -> new VmListParser(listener).parse(root));
 	}
 
 }
--- a/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeMetrics.java
@@ -13,6 +13,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.eelgrasspitch.fleet.NoteKind;
+import org.eelgrasspitch.misc.Words;
 import org.eelgrasspitch.request.CallOutcome;
 import org.eelgrasspitch.text.Channel;
 import org.eelgrasspitch.text.RouteKey;
@@ -98,20 +99,20 @@
 
 	@Override
 	public void sent(Purpose purpose, int length) {
-		this.bytes.labelValues(Outcomes.word(purpose), "out").inc(length + (double) PREFIX_BYTES);
+		this.bytes.labelValues(Words.of(purpose), "out").inc(length + (double) PREFIX_BYTES);
 	}
 
 	@Override
 	public void received(Purpose purpose, int length) {
-		this.bytes.labelValues(Outcomes.word(purpose), "in").inc(length + (double) PREFIX_BYTES);
+		this.bytes.labelValues(Words.of(purpose), "in").inc(length + (double) PREFIX_BYTES);
 	}
 
 	void noted(NoteKind kind) {
-		this.notes.labelValues(Outcomes.word(kind)).inc();
+		this.notes.labelValues(Words.of(kind)).inc();
 	}
 
 	void platformCalled(Channel channel) {
-		this.platformCalls.labelValues(Outcomes.word(channel)).inc();
+		this.platformCalls.labelValues(Words.of(channel)).inc();
 	}
 
 	void platformRead(int length) {
--- a/node/src/main/java/org/eelgrasspitch/node/Outcomes.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Outcomes.java
@@ -1,11 +1,9 @@
 package org.eelgrasspitch.node;
 
-import java.util.Locale;
-
 import org.eelgrasspitch.request.CallOutcome;
 
 /**
- * Words for outcomes and constants in metrics, logs and answers.
+ * Words for outcomes in metrics, logs and answers.
  */
 final class Outcomes {
 
@@ -21,8 +19,4 @@
 		};
 	}
 
-	static String word(Enum<?> constant) {
-		return constant.name().toLowerCase(Locale.ROOT);
-	}
-
 }
--- a/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
+++ b/node/src/main/java/org/eelgrasspitch/node/SettingsParser.java
@@ -1,9 +1,7 @@
 package org.eelgrasspitch.node;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,12 +10,10 @@
 import io.vavr.control.Either;
 import org.eelgrasspitch.fleet.Distribution;
 import org.eelgrasspitch.misc.Addresses;
-import org.eelgrasspitch.misc.CollectingProblemListener;
+import org.eelgrasspitch.misc.DocumentReader;
 import org.eelgrasspitch.misc.ErrorType;
 import org.eelgrasspitch.misc.Fields;
 import org.eelgrasspitch.misc.LocatedNode.TextNode;
-import org.eelgrasspitch.misc.LocatedReader;
-import org.eelgrasspitch.misc.Position;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.request.Guards;
 
@@ -52,8 +48,6 @@
 
 	private static final int DEFAULT_START_MILLIS = 1_500;
 
-	private final CollectingProblemListener listener = new CollectingProblemListener();
-
 	private SettingsParser() {
 	}
 
@@ -63,13 +57,7 @@
 	 * @return the settings, or every problem found
 	 */
 	public static Either<List<Problem>, NodeSettings> read(Path file) {
-		try {
-			return parse(Files.readAllBytes(file));
-		}
-		catch (IOException ex) {
-			return Either
-				.left(List.of(Problem.of(ErrorType.UNREADABLE, Position.UNKNOWN, file, ex.getClass().getSimpleName())));
-		}
+		return DocumentReader.readFile(file, SettingsParser::parse);
 	}
 
 	/**
@@ -78,17 +66,10 @@
 	 * @return the settings, or every problem found
 	 */
 	public static Either<List<Problem>, NodeSettings> parse(byte[] content) {
-		SettingsParser parser = new SettingsParser();
-		Optional<NodeSettings> settings = new LocatedReader(MAX_SETTINGS_BYTES, parser.listener).read(content)
-			.flatMap((root) -> Fields.of("the settings", root, parser.listener))
-			.map(parser::settings);
-		if (settings.isEmpty() || parser.listener.hasErrors()) {
-			return Either.left(parser.listener.problems());
-		}
-		return Either.right(settings.get());
+		return DocumentReader.readObject("the settings", content, MAX_SETTINGS_BYTES, SettingsParser::settings);
 	}
 
-	private NodeSettings settings(Fields fields) {
+	private static NodeSettings settings(Fields fields) {
 		String vm = fields.name("vm");
 		String failureDomain = fields.name("failureDomain");
 		String service = fields.name("service");
@@ -108,7 +89,7 @@
 		return settings;
 	}
 
-	private String url(Fields fields) {
+	private static String url(Fields fields) {
 		String written = fields.text("platformUrl");
 		if (fields.has("platformUrl") && !isHttpUrl(written)) {
 			fields.report(ErrorType.BAD_URL, fields.position("platformUrl"), written);
@@ -126,7 +107,7 @@
 		}
 	}
 
-	private List<InetSocketAddress> seeds(Fields fields) {
+	private static List<InetSocketAddress> seeds(Fields fields) {
 		List<InetSocketAddress> seeds = new ArrayList<>();
 		for (TextNode node : fields.texts("seeds", MAX_SEEDS)) {
 			Optional<InetSocketAddress> address = Addresses.parse(node.value());
--- a/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
+++ b/node/src/main/java/org/eelgrasspitch/node/StatusReport.java
@@ -5,6 +5,7 @@
 
 import org.eelgrasspitch.fleet.FleetView;
 import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.misc.Words;
 import org.eelgrasspitch.text.Version;
 
 /**
@@ -46,11 +47,11 @@
 			.map((rejection) -> rejection.problems().stream().map(Problem::toString).toList())
 			.orElse(List.of());
 		return new StatusReport(context.settings().vm(), context.settings().failureDomain(), context.incarnation(),
-				Outcomes.word(view.life()), view.evidenceAgeMillis() >= 0, Outcomes.word(view.role()),
-				revision(view.text()), view.text().map((version) -> version.digest().hex()), view.floor(),
-				revision(view.vms()), view.evidenceAgeMillis(),
-				view.rejection().map((rejection) -> rejection.revision()).orElse(0L), problems, home.inFlight(),
-				home.recordCount(), home.targetLimit(), home.quarantineCount(), entry.ejected(), peers);
+				Words.of(view.life()), view.evidenceAgeMillis() >= 0, Words.of(view.role()), revision(view.text()),
+				view.text().map((version) -> version.digest().hex()), view.floor(), revision(view.vms()),
+				view.evidenceAgeMillis(), view.rejection().map((rejection) -> rejection.revision()).orElse(0L),
+				problems, home.inFlight(), home.recordCount(), home.targetLimit(), home.quarantineCount(),
+				entry.ejected(), peers);
 	}
 
 	private static long revision(Optional<Version> version) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
@@ -21,8 +21,6 @@
  */
 final class Attempt implements CallSink {
 
-	private static final int SERVER_ERROR = 500;
-
 	private final Exchange exchange;
 
 	private final TargetEntry target;
@@ -155,7 +153,7 @@
 		if (!isCurrent()) {
 			return;
 		}
-		if (head.status() >= SERVER_ERROR && this.exchange.route().idempotent() && this.exchange.tryInstead()) {
+		if (head.isServerError() && this.exchange.route().idempotent() && this.exchange.tryInstead()) {
 			return;
 		}
 		this.reply = head;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefReport.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/BeliefReport.java
@@ -9,7 +9,8 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 
 /**
- * What a node believes at one moment. It is served as JSON beside the metrics.
+ * What a node believes at one moment. It is served as JSON beside the metrics, written
+ * member by member: binding records to JSON would load hundreds of classes into a node.
  *
  * @param vm name of its VM
  * @param failureDomain its failure domain
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
@@ -30,7 +30,16 @@
 	static final long NO_BODY = -2;
 
 	boolean hasBody() {
-		return this.bodyLength == CHUNKED || this.bodyLength > 0;
+		return hasBody(this.bodyLength);
+	}
+
+	/**
+	 * Tells whether a body follows a head.
+	 * @param bodyLength length of the body; {@link #CHUNKED} or {@link #NO_BODY}
+	 * @return true when bytes of a body are to come
+	 */
+	static boolean hasBody(long bodyLength) {
+		return bodyLength == CHUNKED || bodyLength > 0;
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerRequest.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerRequest.java
@@ -74,7 +74,7 @@
 	}
 
 	boolean hasBody() {
-		return this.bodyLength == CallHead.CHUNKED || this.bodyLength > 0;
+		return CallHead.hasBody(this.bodyLength);
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -63,7 +63,7 @@
 	private int active;
 
 	/** Whether nothing more is taken, since nothing is in progress. */
-	private boolean ended;
+	private boolean refusing;
 
 	/** When this node was told to stop; 0 before. */
 	private long stoppingSince;
@@ -118,7 +118,7 @@
 	 * @return true shortly before the end
 	 */
 	boolean isEnding() {
-		return this.ended || (isStopping() && this.fabric.now() - this.stoppingSince > TAKING_MILLIS);
+		return this.refusing || (isStopping() && this.fabric.now() - this.stoppingSince > TAKING_MILLIS);
 	}
 
 	void stop() {
@@ -128,8 +128,8 @@
 	/**
 	 * Refuses every request from now on.
 	 */
-	void end() {
-		this.ended = true;
+	void refuseAll() {
+		this.refusing = true;
 	}
 
 	int active() {
@@ -177,17 +177,23 @@
 	 * @return the choice, or empty when no target takes requests
 	 */
 	Optional<Choice> choose(String route, String service, Set<String> tried, long objectiveMillis) {
-		List<Candidate> candidates = new ArrayList<>();
-		for (TargetEntry entry : this.view.directory().of(service)) {
-			if (!entry.draining() && !tried.contains(entry.id()) && !isDisplaced(entry.id())) {
-				candidate(entry, route).ifPresent(candidates::add);
-			}
-		}
+		List<Candidate> candidates = candidates(route, service, tried);
 		return this.placement.choose(candidates, objectiveMillis)
 			.flatMap((chosen) -> this.view.directory().find(chosen.id()))
 			.map((target) -> new Choice(target, candidates));
 	}
 
+	/**
+	 * Tells whether {@link #choose} would find a target.
+	 * @param route name of the request's route
+	 * @param service the service
+	 * @param tried identifiers of targets that are passed over
+	 * @return true when some target takes requests
+	 */
+	boolean hasChoice(String route, String service, Set<String> tried) {
+		return candidates(route, service, tried).stream().anyMatch(Candidate::isUp);
+	}
+
 	/**
 	 * Tells whether a service has targets without a link, to which one may be opened
 	 * soon.
@@ -292,6 +298,16 @@
 		return entry.address().equals(this.fabric.settings().targetAddress());
 	}
 
+	private List<Candidate> candidates(String route, String service, Set<String> tried) {
+		List<Candidate> candidates = new ArrayList<>();
+		for (TargetEntry entry : this.view.directory().of(service)) {
+			if (!entry.draining() && !tried.contains(entry.id()) && !isDisplaced(entry.id())) {
+				candidate(entry, route).ifPresent(candidates::add);
+			}
+		}
+		return candidates;
+	}
+
 	private Optional<Candidate> candidate(TargetEntry entry, String route) {
 		boolean near = entry.failureDomain().equals(this.fabric.settings().failureDomain());
 		ServiceTimes observed = this.times.get(entry.id());
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -309,8 +309,7 @@
 		}
 		long now = this.service.fabric().now();
 		return this.reached < this.route.maxAttempts() && now + REPEAT_MILLIS < this.deadlineAt
-				&& this.service.choose(this.route.name(), this.destination, this.tried, this.objectiveAt - now)
-					.isPresent()
+				&& this.service.hasChoice(this.route.name(), this.destination, this.tried)
 				&& this.service.tryRepeat(this.destination, this.rank != HomeQueue.CALL_RANK && !failure.mayHaveRun());
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
@@ -1,6 +1,6 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.Locale;
+import org.eelgrasspitch.misc.Words;
 
 /**
  * Why a home did not deliver an answer.
@@ -37,8 +37,10 @@
 	/** The link was lost while the call was in progress. */
 	LINK_LOST;
 
+	private final String word = Words.of(this);
+
 	String word() {
-		return name().toLowerCase(Locale.ROOT);
+		return this.word;
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Headers.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Headers.java
@@ -55,21 +55,6 @@
 		}
 	}
 
-	/**
-	 * Finds a field.
-	 * @param fields names and values in turn
-	 * @param name its name
-	 * @return its first value, or null
-	 */
-	static String find(List<String> fields, String name) {
-		for (int i = 0; i + 1 < fields.size(); i += 2) {
-			if (fields.get(i).equalsIgnoreCase(name)) {
-				return fields.get(i + 1);
-			}
-		}
-		return null;
-	}
-
 	/**
 	 * Returns how the body of a message is framed.
 	 * @param message the message
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -2,7 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
+
+import org.eelgrasspitch.misc.Words;
 
 /**
  * A call at the home of its target: first in the home's queue, then on a connection to
@@ -51,7 +52,7 @@
 	}
 
 	String stateWord() {
-		return this.state.name().toLowerCase(Locale.ROOT);
+		return Words.of(this.state);
 	}
 
 	boolean isEnded() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogDetail.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogDetail.java
@@ -1,6 +1,6 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.Locale;
+import org.eelgrasspitch.misc.Words;
 
 /**
  * How much is logged about requests. Changes of belief, starts and stops are always
@@ -19,7 +19,7 @@
 
 	@Override
 	public String toString() {
-		return name().toLowerCase(Locale.ROOT);
+		return Words.of(this);
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -1,6 +1,6 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.Locale;
+import org.eelgrasspitch.misc.Words;
 
 /**
  * Everything that the decision log tells. docs/OPERATIONS.md describes each one.
@@ -111,7 +111,7 @@
 
 	private final int linesPerSecond;
 
-	private final String word = name().toLowerCase(Locale.ROOT);
+	private final String word = Words.of(this);
 
 	LogEvent() {
 		this(0);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -17,6 +16,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.eelgrasspitch.misc.Words;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
 
 /**
@@ -94,7 +94,7 @@
 	}
 
 	void requestEnded(Outcome outcome, long millis) {
-		this.requests.labelValues(word(outcome)).inc();
+		this.requests.labelValues(Words.of(outcome)).inc();
 		this.requestSeconds.observe(millis / MILLIS_PER_SECOND);
 	}
 
@@ -107,7 +107,7 @@
 	}
 
 	void callEnded(Outcome outcome) {
-		this.calls.labelValues(word(outcome)).inc();
+		this.calls.labelValues(Words.of(outcome)).inc();
 	}
 
 	void targetTook(long millis) {
@@ -126,7 +126,7 @@
 	 */
 	void sent(LinkMessage._Fields kind, boolean near, int bytes) {
 		(near ? this.nearBytes : this.farBytes)
-			.computeIfAbsent(kind, (first) -> this.linkBytes.labelValues(word(first), near ? "own" : "other"))
+			.computeIfAbsent(kind, (first) -> this.linkBytes.labelValues(Words.of(first), near ? "own" : "other"))
 			.inc(bytes);
 	}
 
@@ -168,10 +168,6 @@
 			.register(this.registry);
 	}
 
-	private static String word(Enum<?> constant) {
-		return constant.name().toLowerCase(Locale.ROOT);
-	}
-
 	/**
 	 * What became of a request or a call.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -35,7 +36,7 @@
 	private static final long DRAIN_POLL_MILLIS = 25;
 
 	/** Time in which requests that cross the end are still refused. */
-	private static final long LAST_WORD_MILLIS = 100;
+	private static final long REFUSING_MILLIS = 100;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -135,12 +136,14 @@
 		long leadAwayUntil = began + LEAD_AWAY_MILLIS;
 		while (this.fabric.now() < lastAt) {
 			pause(DRAIN_POLL_MILLIS);
-			if (this.fabric.now() >= leadAwayUntil && endsNow()) {
+			if (this.fabric.now() >= leadAwayUntil && onTraffic(this::endIfIdle)) {
 				break;
 			}
 		}
-		pause(LAST_WORD_MILLIS);
-		this.fabric.log().log(LogEvent.NODE_STOPPED, "in_progress", inProgress(), "took_ms", this.fabric.now() - began);
+		pause(REFUSING_MILLIS);
+		this.fabric.log()
+			.log(LogEvent.NODE_STOPPED, "in_progress", onTraffic(this::inProgress), "took_ms",
+					this.fabric.now() - began);
 		close();
 	}
 
@@ -159,20 +162,20 @@
 		return this.home.inProgress() + this.entry.active();
 	}
 
+	private <T> T onTraffic(Callable<T> question) {
+		return this.fabric.loop().submit(question).syncUninterruptibly().getNow();
+	}
+
 	/**
-	 * Decides on the event loop of the traffic, so that no request is taken between the
-	 * look at what is in progress and the end.
+	 * Ends the node if nothing is in progress. On the event loop of the traffic no
+	 * request is taken between the look and the end.
 	 * @return true when nothing is in progress and nothing more is taken
 	 */
-	private boolean endsNow() {
-		return this.fabric.loop().submit(this::endIfIdle).syncUninterruptibly().getNow();
-	}
-
 	private boolean endIfIdle() {
 		if (inProgress() > 0) {
 			return false;
 		}
-		this.entry.end();
+		this.entry.refuseAll();
 		return true;
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -1,17 +1,11 @@
 package org.eelgrasspitch.proxy;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
 
 import io.vavr.control.Either;
-import org.eelgrasspitch.misc.CollectingProblemListener;
-import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.DocumentReader;
 import org.eelgrasspitch.misc.Fields;
-import org.eelgrasspitch.misc.LocatedReader;
-import org.eelgrasspitch.misc.Position;
 import org.eelgrasspitch.misc.Problem;
 
 /**
@@ -41,13 +35,7 @@
 	 * @return the settings, or every problem found
 	 */
 	public static Either<List<Problem>, ProxySettings> read(Path file) {
-		try {
-			return parse(Files.readAllBytes(file));
-		}
-		catch (IOException ex) {
-			return Either
-				.left(List.of(Problem.of(ErrorType.UNREADABLE, Position.UNKNOWN, file, ex.getClass().getSimpleName())));
-		}
+		return DocumentReader.readFile(file, ProxySettingsParser::parse);
 	}
 
 	/**
@@ -56,14 +44,7 @@
 	 * @return the settings, or every problem found
 	 */
 	public static Either<List<Problem>, ProxySettings> parse(byte[] content) {
-		CollectingProblemListener listener = new CollectingProblemListener();
-		Optional<ProxySettings> settings = new LocatedReader(MAX_SETTINGS_BYTES, listener).read(content)
-			.flatMap((root) -> Fields.of("the settings", root, listener))
-			.map(ProxySettingsParser::settings);
-		if (settings.isEmpty() || listener.hasErrors()) {
-			return Either.left(listener.problems());
-		}
-		return Either.right(settings.get());
+		return DocumentReader.readObject("the settings", content, MAX_SETTINGS_BYTES, ProxySettingsParser::settings);
 	}
 
 	private static ProxySettings settings(Fields fields) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ReplyHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ReplyHead.java
@@ -15,4 +15,14 @@
  */
 record ReplyHead(int status, List<String> headers, long bodyLength, int targetMillis, HomeLoad load) {
 
+	private static final int SERVER_ERROR = 500;
+
+	/**
+	 * Tells whether the target has failed to serve the request.
+	 * @return true for a status from 500 on
+	 */
+	boolean isServerError() {
+		return this.status >= SERVER_ERROR;
+	}
+
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -16,8 +16,6 @@
  */
 final class RequestLog {
 
-	private static final int SERVER_ERROR = 500;
-
 	private final RequestTrace trace;
 
 	RequestLog(DecisionLog log, String requestId) {
@@ -70,13 +68,13 @@
 	}
 
 	void done(MeshRoute route, Attempt attempt, boolean late, long afterMillis, long hopMillis, int tried) {
-		int status = attempt.reply().status();
-		if (!late && status < SERVER_ERROR && !isKept()) {
+		ReplyHead reply = attempt.reply();
+		if (!late && !reply.isServerError() && !isKept()) {
 			return;
 		}
-		this.trace.tell(LogEvent.REQUEST_DONE, "route", route.name(), "target", attempt.target().id(), "status", status,
-				"late", late, "after_ms", afterMillis, "hop_ms", hopMillis, "target_ms", attempt.reply().targetMillis(),
-				"tried", tried);
+		this.trace.tell(LogEvent.REQUEST_DONE, "route", route.name(), "target", attempt.target().id(), "status",
+				reply.status(), "late", late, "after_ms", afterMillis, "hop_ms", hopMillis, "target_ms",
+				reply.targetMillis(), "tried", tried);
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -1,7 +1,6 @@
 package org.eelgrasspitch.proxy;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.Set;
 
 import io.netty.buffer.ByteBufUtil;
@@ -55,8 +54,6 @@
 
 	private static final int SUCCESS_END = 300;
 
-	private static final int SERVER_ERROR = 500;
-
 	private static final int MISDIRECTED = 421;
 
 	private final Home home;
@@ -253,10 +250,11 @@
 			return;
 		}
 		this.answering = true;
-		this.good = status < SERVER_ERROR;
-		List<String> headers = Headers.travelling(response.headers(), Set.of());
-		this.call.replied(new ReplyHead(status, headers, Headers.bodyLength(response, CallHead.CHUNKED),
-				(int) (this.home.now() - this.call.startedAt()), this.home.load()));
+		ReplyHead reply = new ReplyHead(status, Headers.travelling(response.headers(), Set.of()),
+				Headers.bodyLength(response, CallHead.CHUNKED), (int) (this.home.now() - this.call.startedAt()),
+				this.home.load());
+		this.good = !reply.isServerError();
+		this.call.replied(reply);
 	}
 
 	private void content(HttpContent content) {
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -10,6 +10,7 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.mesh.RawCaller;
 import org.eelgrasspitch.testkit.mesh.RawCaller.Answer;
 import org.eelgrasspitch.testkit.mesh.ServerStandIn;
@@ -65,7 +66,7 @@
 		for (String vm : vms.split(" ")) {
 			await(vm + " is ready", 5, () -> this.world.readiness(vm) == OK);
 		}
-		pause(800);
+		Cluster.sleep(800);
 	}
 
 	@When("a requester at {word} sends {word} {word}")
@@ -77,7 +78,7 @@
 	@When("a requester at {word} sends {word} {word} and leaves after {int} ms")
 	public void sendAndLeave(String vm, String method, String path, int millis) throws IOException {
 		ask(vm, method, path, "");
-		pause(millis);
+		Cluster.sleep(millis);
 		this.caller.close();
 	}
 
@@ -245,7 +246,7 @@
 		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
 		while (System.nanoTime() < until) {
 			Assert.assertEquals(statusOf(vm, path), status);
-			pause(50);
+			Cluster.sleep(50);
 		}
 	}
 
@@ -277,7 +278,7 @@
 
 	@Then("after {int} ms no request from {word} for {word} reaches {word}")
 	public void unreached(int millis, String from, String path, String vm) {
-		pause(millis);
+		Cluster.sleep(millis);
 		int before = this.world.server(vm).received().size();
 		for (int i = 0; i < 12; i++) {
 			statusOf(from, path);
@@ -333,7 +334,7 @@
 				// A connection that is not accepted has taken no request.
 				return;
 			}
-			pause(100);
+			Cluster.sleep(100);
 		}
 	}
 
@@ -361,7 +362,7 @@
 		for (int i = 0; i < times; i++) {
 			statusOf(vm, path);
 			this.world.revive();
-			pause(700);
+			Cluster.sleep(700);
 		}
 		this.deadlyStarts = this.world.startsOf(path) - before;
 	}
@@ -404,7 +405,7 @@
 
 	@When("{int} ms pass")
 	public void pass(int millis) {
-		pause(millis);
+		Cluster.sleep(millis);
 	}
 
 	@Then("of {int} requests at {word} for {word} the share that reaches {word} servers is {int} % give or take {int}")
@@ -473,16 +474,7 @@
 		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
 		while (!condition.getAsBoolean()) {
 			Assert.assertTrue(System.nanoTime() < until, "not within " + seconds + " s: " + what);
-			pause(25);
-		}
-	}
-
-	private static void pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+			Cluster.sleep(25);
 		}
 	}
 
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
@@ -7,9 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * A requester that sees every byte of its connection.
@@ -85,13 +83,7 @@
 			return new Answer(0, Map.of(), "", false);
 		}
 		int status = Integer.parseInt(line.split(" ")[1]);
-		Map<String, String> headers = new TreeMap<>();
-		for (String field = ServerStandIn.line(this.input); field != null
-				&& !field.isEmpty(); field = ServerStandIn.line(this.input)) {
-			int colon = field.indexOf(':');
-			headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
-		}
-		return body(status, headers);
+		return body(status, ServerStandIn.headers(this.input));
 	}
 
 	@Override
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -259,11 +259,7 @@
 			return null;
 		}
 		String[] words = line.split(" ");
-		Map<String, String> headers = new TreeMap<>();
-		for (String field = line(input); field != null && !field.isEmpty(); field = line(input)) {
-			int colon = field.indexOf(':');
-			headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
-		}
+		Map<String, String> headers = headers(input);
 		return new Received(words[0], words[1], headers, body(input, headers));
 	}
 
@@ -286,6 +282,21 @@
 		return body.toString();
 	}
 
+	/**
+	 * Reads the fields of a message up to the empty line.
+	 * @param input where the message arrives
+	 * @return the fields by name in lower case
+	 * @throws IOException if the connection fails
+	 */
+	static Map<String, String> headers(InputStream input) throws IOException {
+		Map<String, String> headers = new TreeMap<>();
+		for (String field = line(input); field != null && !field.isEmpty(); field = line(input)) {
+			int colon = field.indexOf(':');
+			headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
+		}
+		return headers;
+	}
+
 	static String line(InputStream input) throws IOException {
 		StringBuilder line = new StringBuilder();
 		int next = input.read();
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/StoreStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/StoreStandIn.java
@@ -17,6 +17,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import org.eelgrasspitch.testkit.Cluster;
 
 /**
  * Stands in for the platform's store: items with one revision counter, listing in pages,
@@ -147,7 +148,7 @@
 			}
 			case BUSY -> answer(exchange, UNAVAILABLE, "{}");
 			case SLOW -> {
-				pause(SLOW_MILLIS);
+				Cluster.sleep(SLOW_MILLIS);
 				return false;
 			}
 			case LOSSY -> {
@@ -155,13 +156,13 @@
 					return false;
 				}
 				// The call is taken and nothing more comes on its connection.
-				pause(LOST_MILLIS);
+				Cluster.sleep(LOST_MILLIS);
 				exchange.close();
 			}
 			case RESET -> exchange.close();
 			case SILENT -> {
 				while (this.fault == Fault.SILENT) {
-					pause(LOOK_MILLIS);
+					Cluster.sleep(LOOK_MILLIS);
 				}
 				exchange.close();
 			}
@@ -200,7 +201,7 @@
 				answer(exchange, OK, changes);
 				return;
 			}
-			pause(LOOK_MILLIS);
+			Cluster.sleep(LOOK_MILLIS);
 		}
 	}
 
@@ -239,15 +240,6 @@
 		return query;
 	}
 
-	private static void pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	/**
 	 * How the store fails.
 	 */
