Send slow idempotent requests to a second target, place long reads for those behind them, give back slots of silent targets

Of 88 late ones in one failure domain, 65 were complete and waited for a read of 880 ms before them on the same connection, which had gone to the slow target of that failure domain (request_held joined with request_done). Slow and silent targets keep a lookup until its timeout. Found on the way: a call that its target never answers kept its slot for good once its entry had given it up; two such payments closed a target with two slots (scenario failed first: 503 instead of 200).

Ruled out: that the tail alone makes them late.

Change: mesh.Hedging (when, and whether a target has room), mesh.Followers (objective of the requests behind), purposes of AttemptBudget, Attempts and Admission taken out of Exchange; the slower attempt is left to finish, so that its slot is not given away early (the scenario of the slots found that); Home ends calls a second after their deadline.

--- a/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/AttemptBudget.java
@@ -23,9 +23,6 @@
 	/** Part of the fleet's budget that is used. */
 	private static final double CAUTION = 0.6;
 
-	/** Part of the budget open to callers who could come back on their own. */
-	private static final double OWN_RETURN = 0.5;
-
 	private double ratio;
 
 	private double minimum;
@@ -70,14 +67,13 @@
 	 * Takes one repeat if the budget allows it.
 	 * @param service the service that it would be sent to
 	 * @param nodes nodes that share the budget
-	 * @param canReturn whether the caller could come back on its own, which costs no
-	 * repeat; such callers leave a part of the budget to the others
+	 * @param purpose why it would be sent again
 	 * @param now current monotonic time in milliseconds
 	 * @return true when the repeat may be made
 	 */
-	public boolean tryTake(String service, int nodes, boolean canReturn, long now) {
+	public boolean tryTake(String service, int nodes, Purpose purpose, long now) {
 		Window window = window(service, now);
-		double open = allowed(window, nodes) * (canReturn ? OWN_RETURN : 1);
+		double open = allowed(window, nodes) * purpose.share;
 		if (window.repeated + 1 > open) {
 			return false;
 		}
@@ -124,6 +120,30 @@
 		return window;
 	}
 
+	/**
+	 * Why a request is sent again. The more a caller depends on it, the more of the
+	 * budget is open to it, so that lesser purposes always leave something to the others.
+	 */
+	public enum Purpose {
+
+		/** The first target may still answer, only late. */
+		HEDGE(0.25),
+
+		/** The request has not run, and its caller could come back on its own. */
+		NOT_RUN(0.5),
+
+		/** The request has failed, or its caller cannot come back. */
+		FAILED(1);
+
+		/** Part of the budget that is open to it. */
+		private final double share;
+
+		Purpose(double share) {
+			this.share = share;
+		}
+
+	}
+
 	/**
 	 * Sends to one service within the window, the oldest first.
 	 */
--- a/core/src/test/java/org/eelgrasspitch/mesh/AttemptBudgetTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/AttemptBudgetTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.eelgrasspitch.mesh.AttemptBudget.Purpose;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -34,7 +35,7 @@
 			// One in three nodes believes that only half of the nodes exist.
 			int believed = (now / 10 % 3 == 0) ? NODES / 2 : NODES;
 			for (int i = 0; i < 3; i++) {
-				if (budget.tryTake("s", believed, i == 0, now)) {
+				if (budget.tryTake("s", believed, (i == 0) ? Purpose.NOT_RUN : Purpose.FAILED, now)) {
 					repeats.add(now);
 				}
 			}
@@ -49,10 +50,10 @@
 	@Test
 	public void servicesDoNotShareABudget() {
 		AttemptBudget budget = new AttemptBudget(RATIO, MINIMUM, WINDOW);
-		while (budget.tryTake("a", 1, false, 0)) {
+		while (budget.tryTake("a", 1, Purpose.FAILED, 0)) {
 			Assert.assertTrue(budget.left("a", 1, 0) < MINIMUM);
 		}
-		Assert.assertTrue(budget.tryTake("b", 1, false, 0));
+		Assert.assertTrue(budget.tryTake("b", 1, Purpose.FAILED, 0));
 	}
 
 	@Test
@@ -70,11 +71,11 @@
 	public void callersThatCanComeBackLeaveAPartToThoseThatCannot() {
 		AttemptBudget budget = new AttemptBudget(RATIO, MINIMUM, WINDOW);
 		int taken = 0;
-		while (budget.tryTake("s", 1, true, 0)) {
+		while (budget.tryTake("s", 1, Purpose.NOT_RUN, 0)) {
 			taken++;
 		}
 		Assert.assertTrue(budget.left("s", 1, 0) >= taken);
-		Assert.assertTrue(budget.tryTake("s", 1, false, 0));
+		Assert.assertTrue(budget.tryTake("s", 1, Purpose.FAILED, 0));
 	}
 
 	private static long within(List<Long> times, long end) {
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Admission.java
@@ -0,0 +1,46 @@
+package org.eelgrasspitch.proxy;
+
+import org.eelgrasspitch.mesh.HomeQueue;
+import org.eelgrasspitch.mesh.MeshRoute;
+
+/**
+ * What was decided of a request when it was admitted. Times are monotonic milliseconds.
+ *
+ * @param route its route
+ * @param service the service that serves it
+ * @param internal whether the target of this VM makes it while it runs another request
+ * @param allowedMillis time that its caller allows, from its arrival
+ * @param elapsedMillis time that its caller has probably been trying already
+ * @param deadlineAt when it must be answered
+ * @param objectiveAt when its answer becomes late
+ */
+record Admission(MeshRoute route, String service, boolean internal, long allowedMillis, long elapsedMillis,
+		long deadlineAt, long objectiveAt) {
+
+	/** Time for the answer to reach the caller before it stops waiting. */
+	private static final long ANSWER_MILLIS = 15;
+
+	/**
+	 * Admits a request.
+	 * @param service what all requests of the entry share
+	 * @param route the request's route
+	 * @param request the request
+	 * @param now when it arrived
+	 * @return what was decided
+	 */
+	static Admission of(EntryService service, MeshRoute route, CallerRequest request, long now) {
+		long allowed = request.allowedMillis().orElse(route.timeoutMillis());
+		boolean internal = service.isCall(request.id());
+		// A call of a target allows what its own caller has left, which says nothing of
+		// repeats.
+		long elapsed = internal ? 0 : service.elapsedMillis(route, allowed);
+		return new Admission(route, service.service(route), internal, allowed, elapsed,
+				now + Math.min(allowed - ANSWER_MILLIS, route.timeoutMillis()),
+				now + route.objectiveMillis() - elapsed);
+	}
+
+	int rank() {
+		return this.internal ? HomeQueue.CALL_RANK : this.route.rank();
+	}
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
@@ -78,6 +78,15 @@
 		}
 	}
 
+	/**
+	 * Another attempt answers the request.
+	 */
+	void supersede() {
+		if (this.flow != null) {
+			this.flow.supersede();
+		}
+	}
+
 	/**
 	 * The connection has written a part of the answer.
 	 * @param bytes its length
@@ -153,11 +162,11 @@
 		if (!isCurrent()) {
 			return;
 		}
-		if (head.isServerError() && this.exchange.route().idempotent() && this.exchange.tryInstead()) {
+		if (head.isServerError() && this.exchange.route().idempotent() && this.exchange.tryInstead(this)) {
 			return;
 		}
 		this.reply = head;
-		this.exchange.observed(this.target, head);
+		this.exchange.answering(this, head);
 	}
 
 	@Override
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempts.java
@@ -0,0 +1,143 @@
+package org.eelgrasspitch.proxy;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * The attempts of one request: those in progress, which are one, or a slow one and a
+ * second one beside it, and what the ended ones have shown.
+ */
+final class Attempts {
+
+	/** Identifiers of all targets that were chosen. */
+	private final Set<String> tried = new HashSet<>();
+
+	/** The attempt in progress; null before the first and between two. */
+	private Attempt first;
+
+	/** The second attempt beside a slow one; null when there is none. */
+	private Attempt second;
+
+	/** Ended attempts whose target has received the request. */
+	private int reached;
+
+	private boolean mayHaveRun;
+
+	/** Earliest return that a home has named, in milliseconds; 0 when none has. */
+	private int returnMillis;
+
+	/** How the last attempt failed; null when none has. */
+	private FailureReason lastReason;
+
+	Set<String> tried() {
+		return this.tried;
+	}
+
+	int reached() {
+		return this.reached;
+	}
+
+	int returnMillis() {
+		return this.returnMillis;
+	}
+
+	/**
+	 * Returns how the last attempt failed.
+	 * @return the reason, or null when none has failed
+	 */
+	FailureReason lastReason() {
+		return this.lastReason;
+	}
+
+	/**
+	 * Returns the attempt in progress, the slow one if there are two.
+	 * @return the attempt, or null when there is none
+	 */
+	Attempt current() {
+		return this.first;
+	}
+
+	boolean isCurrent(Attempt candidate) {
+		return candidate == this.first || candidate == this.second;
+	}
+
+	boolean isAnswering() {
+		return this.first != null && this.first.reply() != null;
+	}
+
+	/**
+	 * Tells whether a request that must not run twice has certainly not run.
+	 * @return true when nothing that was sent may have started
+	 */
+	boolean haveSurelyNotRun() {
+		return !this.mayHaveRun && (this.first == null || this.first.hasSurelyNotRun());
+	}
+
+	boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
+	void began(Attempt attempt) {
+		this.first = attempt;
+		this.tried.add(attempt.target().id());
+	}
+
+	void beganSecond(Attempt attempt) {
+		this.second = attempt;
+		this.tried.add(attempt.target().id());
+	}
+
+	/**
+	 * An attempt has begun to answer: the other one, if there is one, is given up.
+	 * @param answering the attempt
+	 */
+	void chosen(Attempt answering) {
+		Attempt other = other(answering);
+		this.first = answering;
+		this.second = null;
+		if (other != null) {
+			other.supersede();
+		}
+	}
+
+	/**
+	 * Notes that an attempt has ended without an answer.
+	 * @param over the attempt
+	 * @param failure how it ended
+	 * @return true when another one is in progress
+	 */
+	boolean failed(Attempt over, CallFailure failure) {
+		this.lastReason = failure.reason();
+		this.mayHaveRun |= failure.mayHaveRun();
+		this.reached += failure.reachedTarget() ? 1 : 0;
+		if (failure.returnMillis() > 0) {
+			this.returnMillis = (this.returnMillis == 0) ? failure.returnMillis()
+					: Math.min(this.returnMillis, failure.returnMillis());
+		}
+		this.first = other(over);
+		this.second = null;
+		return this.first != null;
+	}
+
+	boolean isAlone(Attempt attempt) {
+		return other(attempt) == null;
+	}
+
+	void cancel() {
+		Attempt one = this.first;
+		Attempt other = this.second;
+		this.first = null;
+		this.second = null;
+		if (one != null) {
+			one.cancel();
+		}
+		if (other != null) {
+			other.cancel();
+		}
+	}
+
+	private Attempt other(Attempt one) {
+		return (one == this.first) ? this.second : this.first;
+	}
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallFlow.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallFlow.java
@@ -29,4 +29,11 @@
 	 */
 	void cancel();
 
+	/**
+	 * Gives the call up because another target has answered. Work that waits is dropped;
+	 * work that runs is left to finish, so that its slot is not given away before the
+	 * target has ended it. Nothing is reported afterwards.
+	 */
+	void supersede();
+
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -183,6 +183,18 @@
 		this.waiting.add(new Part(exchange, part, creditBytes));
 	}
 
+	/**
+	 * A request will be sent on: those before it delay its answer.
+	 * @param exchange the request
+	 */
+	void admitted(Exchange exchange) {
+		for (Exchange earlier : this.exchanges) {
+			if (earlier != exchange && !earlier.isComplete()) {
+				earlier.place().followed(exchange.route().objectiveMillis());
+			}
+		}
+	}
+
 	/**
 	 * An answer was handed over completely.
 	 * @param exchange whose answer
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Choice.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Choice.java
@@ -9,8 +9,9 @@
  * The target chosen for a request.
  *
  * @param target the target
+ * @param chosen what was known of it
  * @param candidates all that were considered
  */
-record Choice(TargetEntry target, List<Candidate> candidates) {
+record Choice(TargetEntry target, Candidate chosen, List<Candidate> candidates) {
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -6,11 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 
 import org.eelgrasspitch.mesh.AttemptBudget;
 import org.eelgrasspitch.mesh.CallerLimits;
 import org.eelgrasspitch.mesh.Candidate;
+import org.eelgrasspitch.mesh.Followers;
+import org.eelgrasspitch.mesh.Hedging;
 import org.eelgrasspitch.mesh.MeshRoute;
 import org.eelgrasspitch.mesh.Placement;
 import org.eelgrasspitch.mesh.ServiceTimes;
@@ -45,6 +46,8 @@
 
 	private final AttemptBudget budget;
 
+	private final Followers followers = new Followers();
+
 	/** Longest time that callers of a route have allowed, in milliseconds. */
 	private final Map<String, Long> usualMillis = new HashMap<>();
 
@@ -112,12 +115,23 @@
 		return this.stoppingSince > 0;
 	}
 
+	/**
+	 * Tells why no request can be served at present.
+	 * @return the reason, or empty when requests are served
+	 */
+	Optional<String> obstacle() {
+		if (!this.view.isComplete()) {
+			return Optional.of("no configuration");
+		}
+		return isEnding() ? Optional.of("stopping") : Optional.empty();
+	}
+
 	/**
 	 * Tells whether so little time is left that requests are refused: callers have been
 	 * led away, and a request that is taken now might be cut off.
 	 * @return true shortly before the end
 	 */
-	boolean isEnding() {
+	private boolean isEnding() {
 		return this.refusing || (isStopping() && this.fabric.now() - this.stoppingSince > TAKING_MILLIS);
 	}
 
@@ -158,6 +172,10 @@
 		return this.usualMillis.merge(route.name(), allowedMillis, Math::max) - allowedMillis;
 	}
 
+	Followers followers() {
+		return this.followers;
+	}
+
 	/**
 	 * Selects the service of a request.
 	 * @param route its route
@@ -177,10 +195,26 @@
 	 * @return the choice, or empty when no target takes requests
 	 */
 	Optional<Choice> choose(String route, String service, Set<String> tried, long objectiveMillis) {
-		List<Candidate> candidates = candidates(route, service, tried);
+		return choose(candidates(route, service, tried), objectiveMillis);
+	}
+
+	/**
+	 * Chooses a second target for a request that takes long.
+	 * @param route name of the request's route
+	 * @param service the service
+	 * @param tried identifiers of targets that are passed over
+	 * @param objectiveMillis time left until the answer is late
+	 * @return the choice, or empty when no target has room
+	 */
+	Optional<Choice> chooseSecond(String route, String service, Set<String> tried, long objectiveMillis) {
+		return choose(candidates(route, service, tried).stream().filter(Hedging::hasRoom).toList(), objectiveMillis);
+	}
+
+	private Optional<Choice> choose(List<Candidate> candidates, long objectiveMillis) {
 		return this.placement.choose(candidates, objectiveMillis)
-			.flatMap((chosen) -> this.view.directory().find(chosen.id()))
-			.map((target) -> new Choice(target, candidates));
+			.flatMap((chosen) -> this.view.directory()
+				.find(chosen.id())
+				.map((target) -> new Choice(target, chosen, candidates)));
 	}
 
 	/**
@@ -253,8 +287,8 @@
 		}
 	}
 
-	boolean tryRepeat(String service, boolean canReturn) {
-		return this.budget.tryTake(service, this.links.nodes(), canReturn, this.fabric.now());
+	boolean tryRepeat(String service, AttemptBudget.Purpose purpose) {
+		return this.budget.tryTake(service, this.links.nodes(), purpose, this.fabric.now());
 	}
 
 	int repeatsLeft(String service) {
@@ -272,21 +306,28 @@
 
 	/**
 	 * Notes that a target died while it ran a request.
-	 * @param fingerprint the request's fingerprint
+	 * @param request the request
+	 * @param body its body
 	 * @param target identifier of the target
 	 */
-	void crashed(Digest fingerprint, String target) {
-		this.links.crashed(fingerprint, target);
+	void crashed(CallerRequest request, RequestBody body, String target) {
+		this.links.crashed(fingerprint(request, body), target);
 	}
 
 	/**
 	 * Tells whether a request has crashed too many targets.
-	 * @param fingerprint computes the request's fingerprint
+	 * @param request the request
+	 * @param body its body
 	 * @return true when it is to be refused
 	 */
-	boolean isQuarantined(Supplier<Digest> fingerprint) {
+	boolean isQuarantined(CallerRequest request, RequestBody body) {
 		long now = this.fabric.now();
-		return this.links.quarantine().count(now) > 0 && this.links.quarantine().isQuarantined(fingerprint.get(), now);
+		return this.links.quarantine().count(now) > 0
+				&& this.links.quarantine().isQuarantined(fingerprint(request, body), now);
+	}
+
+	private Digest fingerprint(CallerRequest request, RequestBody body) {
+		return request.fingerprint(this.fabric.settings().service(), body);
 	}
 
 	boolean isDisplaced(String target) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -1,20 +1,17 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.ScheduledFuture;
+import org.eelgrasspitch.mesh.AttemptBudget.Purpose;
+import org.eelgrasspitch.mesh.Hedging;
 import org.eelgrasspitch.mesh.HomeLoad;
-import org.eelgrasspitch.mesh.HomeQueue;
 import org.eelgrasspitch.mesh.MeshRoute;
 import org.eelgrasspitch.mesh.TargetEntry;
-import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.ProxyMetrics.Outcome;
 
 /**
@@ -22,8 +19,9 @@
  * <p>
  * A request is sent to one target at a time. It is sent to another one only if the first
  * certainly did not run it, or if it is idempotent; and only within the route's attempts
- * and the budget of repeats. Refusals of a home cost neither, since no target has seen
- * the request. An answer is held until it is complete, up to
+ * and the budget of repeats. One that is idempotent and takes unusually long goes to a
+ * second target as well; the first to answer wins. Refusals of a home cost neither, since
+ * no target has seen the request. An answer is held until it is complete, up to
  * {@link CallSink#WINDOW_BYTES}, so that one that breaks off can still be replaced;
  * longer ones are passed on as they come.
  * <p>
@@ -41,9 +39,6 @@
 	/** When a caller whose request crashes targets may come back, in milliseconds. */
 	private static final int QUARANTINE_RETURN_MILLIS = 2_000;
 
-	/** Time for the answer to reach the caller before it stops waiting. */
-	private static final long ANSWER_MILLIS = 15;
-
 	/** A repeat needs at least this long to be worth sending. */
 	private static final long REPEAT_MILLIS = 40;
 
@@ -59,32 +54,17 @@
 
 	private final RequestLog log;
 
-	private final Set<String> tried = new HashSet<>();
-
-	private MeshRoute route;
-
-	private int rank;
-
-	private String destination;
-
-	private long deadlineAt;
-
-	private long objectiveAt;
+	private final Attempts attempts = new Attempts();
 
-	private ScheduledFuture<?> deadline;
+	/** What was decided when it was admitted; null before, and if it never is. */
+	private Admission admission;
 
-	/** The attempt in progress; null before the first and between two. */
-	private Attempt attempt;
+	private final RequestTimer deadline;
 
-	/** Targets that received the request. */
-	private int reached;
+	/** Looks whether the first attempt is slow. */
+	private final RequestTimer slowness;
 
-	private boolean mayHaveRun;
-
-	/** Earliest return that a home has named; 0 when none has. */
-	private int returnMillis;
-
-	private FailureReason lastReason;
+	private final LinePlace place = new LinePlace();
 
 	private long lookUntil;
 
@@ -93,8 +73,6 @@
 
 	private boolean ended;
 
-	private long endedAt;
-
 	/** What became of the request if nothing else is noted. */
 	private Outcome outcome = Outcome.ANSWERED;
 
@@ -105,6 +83,8 @@
 		this.receivedAt = service.fabric().now();
 		this.body = new RequestBody(!request.hasBody());
 		this.log = new RequestLog(service.fabric().log(), request.id());
+		this.deadline = new RequestTimer(service.fabric().loop());
+		this.slowness = new RequestTimer(service.fabric().loop());
 		service.began();
 	}
 
@@ -124,12 +104,9 @@
 			refuse(this.request.problem().get(), "malformed");
 			return;
 		}
-		if (!this.service.view().isComplete()) {
-			unavailable("no configuration");
-			return;
-		}
-		if (this.service.isEnding()) {
-			unavailable("stopping");
+		Optional<String> obstacle = this.service.obstacle();
+		if (obstacle.isPresent()) {
+			unavailable(obstacle.get());
 			return;
 		}
 		Optional<MeshRoute> found = this.service.view().config().routes().find(this.request.host(), this.request.uri());
@@ -145,25 +122,15 @@
 	}
 
 	private void admit(MeshRoute found) {
-		this.route = found;
-		this.destination = this.service.service(found);
-		long allowed = this.request.allowedMillis().orElse(found.timeoutMillis());
-		boolean internal = this.service.isCall(this.request.id());
-		this.rank = internal ? HomeQueue.CALL_RANK : found.rank();
-		if (internal) {
+		this.admission = Admission.of(this.service, found, this.request, this.receivedAt);
+		if (this.admission.internal()) {
 			this.service.fabric().metrics().targetRequested();
 		}
-		// A call of a target allows what its own caller has left, which says nothing of
-		// repeats.
-		long elapsed = internal ? 0 : this.service.elapsedMillis(found, allowed);
-		this.deadlineAt = this.receivedAt + Math.min(allowed - ANSWER_MILLIS, found.timeoutMillis());
-		this.objectiveAt = this.receivedAt + found.objectiveMillis() - elapsed;
-		this.log.admitted(found, this.destination, internal, allowed, elapsed, this.service.view(), this.receivedAt);
-		this.deadline = this.service.fabric()
-			.loop()
-			.schedule(this::expire, Math.max(0, this.deadlineAt - this.receivedAt), TimeUnit.MILLISECONDS);
+		this.connection.admitted(this);
+		this.log.admitted(this.admission, this.service.view(), this.receivedAt);
+		this.deadline.start(this.admission.deadlineAt() - this.receivedAt, this::expire);
 		if (this.body.isReady()) {
-			place();
+			chooseTarget();
 		}
 	}
 
@@ -176,22 +143,22 @@
 		if (last) {
 			this.body.complete();
 		}
-		if (this.ended || this.route == null) {
+		if (this.ended || this.admission == null) {
 			return;
 		}
-		boolean waited = this.attempt == null && !this.body.isStreamed();
+		boolean waited = this.attempts.current() == null && !this.body.isStreamed();
 		this.body.add(content);
 		if (this.body.allBytes() > this.service.limits().maxBodyBytes()) {
-			cancelAttempt();
+			this.attempts.cancel();
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
 			return;
 		}
 		if (waited && this.body.isReady()) {
-			place();
+			chooseTarget();
 			return;
 		}
-		if (this.attempt != null) {
-			this.attempt.pump();
+		if (this.attempts.current() != null) {
+			this.attempts.current().pump();
 		}
 	}
 
@@ -203,6 +170,10 @@
 		return !this.ended && !this.body.unsent().isEmpty();
 	}
 
+	LinePlace place() {
+		return this.place;
+	}
+
 	/**
 	 * The caller has left.
 	 */
@@ -211,122 +182,155 @@
 		if (this.ended) {
 			return;
 		}
-		this.log.cancelled(routeName(), age(), this.attempt != null);
+		this.log.cancelled(routeName(), age(), this.attempts.current() != null);
 		this.outcome = Outcome.CANCELLED;
-		cancelAttempt();
+		this.attempts.cancel();
 		end();
 	}
 
-	private void place() {
+	private void chooseTarget() {
 		if (this.ended) {
 			return;
 		}
-		if (this.service.isQuarantined(this::fingerprint)) {
-			this.returnMillis = QUARANTINE_RETURN_MILLIS;
-			unavailable("quarantined");
+		if (this.service.isQuarantined(this.request, this.body)) {
+			unavailable("quarantined", QUARANTINE_RETURN_MILLIS);
 			return;
 		}
-		long now = this.service.fabric().now();
-		Optional<Choice> choice = this.service.choose(this.route.name(), this.destination, this.tried,
-				this.objectiveAt - now);
+		long now = now();
+		long objective = this.service.followers().objectiveMillis(route().name(), this.admission.objectiveAt() - now);
+		Optional<Choice> choice = this.service.choose(route().name(), this.admission.service(), this.attempts.tried(),
+				objective);
 		if (choice.isEmpty()) {
-			placeLater(now);
+			chooseLater(now);
 			return;
 		}
 		send(choice.get(), now);
 	}
 
-	private void placeLater(long now) {
+	private void chooseLater(long now) {
 		if (this.lookUntil == 0) {
 			this.lookUntil = now + LINK_WAIT_MILLIS;
 		}
-		if (this.tried.isEmpty() && now < this.lookUntil && this.service.hasUnlinked(this.destination)) {
-			this.service.fabric().loop().schedule(this::place, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+		if (this.attempts.tried().isEmpty() && now < this.lookUntil
+				&& this.service.hasUnlinked(this.admission.service())) {
+			this.service.fabric().loop().schedule(this::chooseTarget, LOOK_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		giveUp();
 	}
 
 	private void send(Choice choice, long now) {
-		TargetEntry target = choice.target();
-		this.log.placed(this.route, this.rank, choice, this.service.view(), this.deadlineAt - now, now);
-		this.tried.add(target.id());
-		CallHead head = new CallHead(this.request.id(), this.route.name(), target.id(), this.request.method(),
-				this.request.uri(), this.request.headers(), this.deadlineAt, this.objectiveAt, this.rank,
-				this.route.idempotent(), this.reached > 0, this.log.isKept(), this.request.bodyLength());
-		Attempt started = new Attempt(this, target, now);
-		this.attempt = started;
-		if (this.tried.size() == 1) {
-			this.service.firstSend(this.destination, this.request.id());
+		this.log.placed(route(), this.admission.rank(), choice, this.service.view(), this.admission.deadlineAt() - now,
+				now);
+		Attempt started = new Attempt(this, choice.target(), now);
+		this.attempts.began(started);
+		start(started, this.attempts.reached() > 0);
+		if (isCurrent(started) && mayHedge()) {
+			this.slowness.start(Hedging.waitMillis(choice.chosen(), route().objectiveMillis()), this::hedge);
+		}
+	}
+
+	private void start(Attempt started, boolean repeat) {
+		TargetEntry target = started.target();
+		CallHead head = new CallHead(this.request.id(), route().name(), target.id(), this.request.method(),
+				this.request.uri(), this.request.headers(), this.admission.deadlineAt(), this.admission.objectiveAt(),
+				this.admission.rank(), route().idempotent(), repeat, this.log.isKept(), this.request.bodyLength());
+		if (this.attempts.tried().size() == 1) {
+			this.service.firstSend(this.admission.service(), this.request.id());
 		}
 		started.use(this.service.open(target, head, started));
 	}
 
+	/**
+	 * Tells whether the only attempt may get a second one beside it.
+	 */
+	private boolean mayHedge() {
+		return route().idempotent() && !this.body.isStreamed() && this.attempts.reached() == 0
+				&& route().maxAttempts() > 1;
+	}
+
+	/**
+	 * Sends a request whose first attempt is slow to a second target.
+	 */
+	private void hedge() {
+		Attempt slow = this.attempts.current();
+		if (this.ended || slow == null || slow.reply() != null || !mayHedge()) {
+			return;
+		}
+		Optional<Choice> second = this.service.chooseSecond(route().name(), this.admission.service(),
+				this.attempts.tried(), this.admission.objectiveAt() - now());
+		if (second.isEmpty() || !this.service.tryRepeat(this.admission.service(), Purpose.HEDGE)) {
+			return;
+		}
+		Attempt beside = new Attempt(this, second.get().target(), now());
+		this.log.hedged(route(), slow, beside, this.service.repeatsLeft(this.admission.service()));
+		this.service.fabric().metrics().hedged();
+		this.attempts.beganSecond(beside);
+		start(beside, true);
+	}
+
 	/**
 	 * An attempt has ended without an answer.
 	 * @param failed the attempt
 	 * @param failure how it ended
 	 */
 	void attemptFailed(Attempt failed, CallFailure failure) {
-		this.attempt = null;
-		this.lastReason = failure.reason();
+		boolean another = this.attempts.failed(failed, failure);
 		if (failure.reason() == FailureReason.TARGET_CRASHED && !this.body.isStreamed()) {
-			this.service.crashed(fingerprint(), failed.target().id());
+			this.service.crashed(this.request, this.body, failed.target().id());
 		}
 		if (failure.reason() == FailureReason.WRONG_TARGET) {
 			this.service.displaced(failed.target().id());
 		}
-		this.mayHaveRun |= failure.mayHaveRun();
-		this.reached += failure.reachedTarget() ? 1 : 0;
-		if (failure.returnMillis() > 0) {
-			this.returnMillis = (this.returnMillis == 0) ? failure.returnMillis()
-					: Math.min(this.returnMillis, failure.returnMillis());
+		if (another) {
+			return;
 		}
 		if (this.answered) {
 			fail(HttpResponseStatus.BAD_GATEWAY);
 			return;
 		}
-		if (mayRepeat(failure)) {
+		if (mayRepeat(failure, this.attempts.reached())) {
 			this.service.fabric().metrics().retried(failure.reason());
-			this.log.retried(this.route, failed.target(), failure, this.reached,
-					this.service.repeatsLeft(this.destination));
-			place();
+			this.log.retried(route(), failed.target(), failure, this.attempts.reached(),
+					this.service.repeatsLeft(this.admission.service()));
+			chooseTarget();
 			return;
 		}
 		giveUp();
 	}
 
-	private Digest fingerprint() {
-		return this.request.fingerprint(this.service.fabric().settings().service(), this.body);
-	}
-
-	private boolean mayRepeat(CallFailure failure) {
-		if (this.body.isStreamed() || (failure.mayHaveRun() && !this.route.idempotent())) {
+	private boolean mayRepeat(CallFailure failure, int reached) {
+		if (this.body.isStreamed() || (failure.mayHaveRun() && !route().idempotent())) {
 			return false;
 		}
 		if (!failure.reachedTarget()) {
 			return true;
 		}
-		long now = this.service.fabric().now();
-		return this.reached < this.route.maxAttempts() && now + REPEAT_MILLIS < this.deadlineAt
-				&& this.service.hasChoice(this.route.name(), this.destination, this.tried)
-				&& this.service.tryRepeat(this.destination, this.rank != HomeQueue.CALL_RANK && !failure.mayHaveRun());
+		long now = now();
+		return reached < route().maxAttempts() && now + REPEAT_MILLIS < this.admission.deadlineAt()
+				&& this.service.hasChoice(route().name(), this.admission.service(), this.attempts.tried())
+				&& this.service.tryRepeat(this.admission.service(), purpose(failure));
+	}
+
+	private Purpose purpose(CallFailure failure) {
+		return (!this.admission.internal() && !failure.mayHaveRun()) ? Purpose.NOT_RUN : Purpose.FAILED;
 	}
 
 	private void giveUp() {
-		if (this.mayHaveRun) {
+		if (this.attempts.mayHaveRun()) {
 			fail(HttpResponseStatus.BAD_GATEWAY);
 			return;
 		}
-		unavailable((this.lastReason != null) ? this.lastReason.word() : "no target");
+		FailureReason last = this.attempts.lastReason();
+		unavailable((last != null) ? last.word() : "no target");
 	}
 
 	private void expire() {
-		if (this.ended || (this.attempt != null && this.attempt.reply() != null)) {
+		if (this.ended || this.attempts.isAnswering()) {
 			return;
 		}
-		boolean unsentYet = !this.mayHaveRun && (this.attempt == null || this.attempt.hasSurelyNotRun());
-		cancelAttempt();
+		boolean unsentYet = this.attempts.haveSurelyNotRun();
+		this.attempts.cancel();
 		if (unsentYet) {
 			unavailable("timeout");
 			return;
@@ -334,18 +338,14 @@
 		fail(HttpResponseStatus.GATEWAY_TIMEOUT);
 	}
 
-	private void cancelAttempt() {
-		Attempt current = this.attempt;
-		this.attempt = null;
-		if (current != null) {
-			current.cancel();
-		}
+	private void unavailable(String reason) {
+		unavailable(reason, this.attempts.returnMillis());
 	}
 
-	private void unavailable(String reason) {
+	private void unavailable(String reason, int returnMillis) {
 		this.outcome = Outcome.REFUSED;
-		long millis = OwnAnswer.returnMillis(this.returnMillis, this.service.fabric().random());
-		this.log.unavailable(routeName(), this.destination, reason, this.tried.size(), age(), millis);
+		long millis = OwnAnswer.returnMillis(returnMillis, this.service.fabric().random());
+		this.log.unavailable(this.admission, reason, this.attempts.tried().size(), age(), millis);
 		answer(OwnAnswer.comeBack(millis, this.service.fabric().names(), this.request.id()));
 	}
 
@@ -357,7 +357,7 @@
 
 	private void fail(HttpResponseStatus status) {
 		this.outcome = Outcome.FAILED;
-		this.log.failed(routeName(), status, this.lastReason, this.reached, age(), this.answered);
+		this.log.failed(routeName(), status, this.attempts.lastReason(), this.attempts.reached(), age(), this.answered);
 		if (this.answered) {
 			end();
 			this.connection.cut();
@@ -394,9 +394,8 @@
 	 * Its answer, which was complete before, is written now that earlier ones are.
 	 */
 	void released() {
-		long now = this.service.fabric().now();
-		if (now > this.endedAt) {
-			this.log.held(now - this.endedAt, now > this.objectiveAt && this.endedAt <= this.objectiveAt);
+		if (this.admission != null) {
+			this.place.released(this.admission.objectiveAt(), this.log, now());
 		}
 	}
 
@@ -405,12 +404,11 @@
 			return;
 		}
 		this.ended = true;
-		this.endedAt = this.service.fabric().now();
 		this.service.fabric().metrics().requestEnded(this.outcome, age());
 		this.body.clear();
-		if (this.deadline != null) {
-			this.deadline.cancel(false);
-		}
+		this.place.ended(routeName(), this.service.followers(), now());
+		this.deadline.cancel();
+		this.slowness.cancel();
 		this.service.ended();
 	}
 
@@ -419,8 +417,8 @@
 	 * @param bytes its length
 	 */
 	void written(int bytes) {
-		if (this.attempt != null && bytes > 0) {
-			this.attempt.written(bytes);
+		if (this.attempts.current() != null && bytes > 0) {
+			this.attempts.current().written(bytes);
 		}
 	}
 
@@ -429,7 +427,7 @@
 	}
 
 	MeshRoute route() {
-		return this.route;
+		return this.admission.route();
 	}
 
 	boolean isAnswered() {
@@ -437,36 +435,39 @@
 	}
 
 	boolean isCurrent(Attempt candidate) {
-		return this.attempt == candidate && !this.ended;
+		return this.attempts.isCurrent(candidate) && !this.ended;
 	}
 
 	void readOn() {
 		this.connection.readOn();
 	}
 
-	void observed(TargetEntry target, ReplyHead head) {
-		this.service.observed(target.id(), this.route.name(), head.targetMillis());
-		this.service.fabric()
-			.metrics()
-			.hopTook(this.service.fabric().now() - this.attempt.sentAt() - head.targetMillis());
+	/**
+	 * An attempt has begun to answer: the other one, if there is one, is given up.
+	 * @param answering the attempt
+	 * @param head the head of its answer
+	 */
+	void answering(Attempt answering, ReplyHead head) {
+		this.attempts.chosen(answering);
+		this.service.observed(answering.target().id(), route().name(), head.targetMillis());
+		this.service.fabric().metrics().hopTook(now() - answering.sentAt() - head.targetMillis());
 	}
 
 	/**
 	 * Sends the request to another target, because the present one has answered with an
 	 * error of its own.
+	 * @param answering the attempt that it has answered
 	 * @return true when it was sent; false when that answer is to be passed on
 	 */
-	boolean tryInstead() {
+	boolean tryInstead(Attempt answering) {
 		CallFailure failure = new CallFailure(FailureReason.TARGET_BROKE_OFF, true, true, 0, HomeLoad.UNKNOWN);
-		this.reached++;
-		if (!mayRepeat(failure)) {
-			this.reached--;
+		if (this.attempts.isAlone(answering) && !mayRepeat(failure, this.attempts.reached() + 1)) {
 			return false;
 		}
 		// The rest of this answer is small and arrives unheeded.
-		this.attempt = null;
-		this.mayHaveRun = true;
-		place();
+		if (!this.attempts.failed(answering, failure)) {
+			chooseTarget();
+		}
 		return true;
 	}
 
@@ -475,17 +476,22 @@
 	 * @param done the attempt
 	 */
 	void completed(Attempt done) {
-		long now = this.service.fabric().now();
-		this.log.done(this.route, done, now > this.objectiveAt, age(), now - done.sentAt(), this.tried.size());
+		long now = now();
+		this.log.done(route(), done, now > this.admission.objectiveAt(), age(), now - done.sentAt(),
+				this.attempts.tried().size());
 		finish();
 	}
 
 	private long age() {
-		return this.service.fabric().now() - this.receivedAt;
+		return now() - this.receivedAt;
+	}
+
+	private long now() {
+		return this.service.fabric().now();
 	}
 
 	private String routeName() {
-		return (this.route != null) ? this.route.name() : "";
+		return (this.admission != null) ? route().name() : "";
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
@@ -35,7 +35,10 @@
 	LINK_DOWN,
 
 	/** The link was lost while the call was in progress. */
-	LINK_LOST;
+	LINK_LOST,
+
+	/** The target had not answered long after the call's deadline. */
+	TARGET_SILENT;
 
 	private final String word = Words.of(this);
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -2,10 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -61,6 +60,15 @@
 	/** Idle connections kept to the target. */
 	private static final int MAX_IDLE = 32;
 
+	/**
+	 * How long after its deadline a call may still run: targets end their work at the
+	 * deadline, so one that has not answered by then never will.
+	 */
+	private static final long OVERDUE_MILLIS = 1_000;
+
+	/** How often calls that run are looked at. */
+	private static final long OVERDUE_TICK_MILLIS = 500;
+
 	/** Weight of one more outcome in the failure share. */
 	private static final double FAILURE_WEIGHT = 0.08;
 
@@ -97,10 +105,8 @@
 
 	private double failureShare;
 
-	/**
-	 * Calls that run, by identifier: whether another target has received them before.
-	 */
-	private final Map<String, Boolean> running = new HashMap<>();
+	/** Calls that were given to the target and have not ended. */
+	private final Set<HomeCall> running = new HashSet<>();
 
 	private boolean ticking;
 
@@ -110,6 +116,8 @@
 	Home(Fabric fabric) {
 		this.fabric = fabric;
 		this.bootstrap = Connections.client(fabric.loop());
+		fabric.loop()
+			.scheduleAtFixedRate(this::endOverdue, OVERDUE_TICK_MILLIS, OVERDUE_TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	void onStateChange(Runnable listener) {
@@ -148,7 +156,7 @@
 	 * @return true from its start to its end
 	 */
 	boolean runs(String requestId) {
-		return this.running.containsKey(requestId);
+		return this.running.stream().anyMatch((call) -> call.head().requestId().equals(requestId));
 	}
 
 	/**
@@ -157,7 +165,8 @@
 	 * @return true from its start to its end
 	 */
 	boolean runsRepeat(String requestId) {
-		return this.running.getOrDefault(requestId, false);
+		return this.running.stream()
+			.anyMatch((call) -> call.head().repeat() && call.head().requestId().equals(requestId));
 	}
 
 	int inProgress() {
@@ -196,7 +205,12 @@
 		return call;
 	}
 
-	void cancelled(HomeCall call) {
+	/**
+	 * The entry has given a call up.
+	 * @param call the call
+	 * @param endsRunning whether it is ended if it runs; otherwise the target finishes it
+	 */
+	void cancelled(HomeCall call, boolean endsRunning) {
 		if (call.isEnded()) {
 			return;
 		}
@@ -212,7 +226,7 @@
 			released();
 			return;
 		}
-		if (call.head().idempotent() && call.connection() != null) {
+		if (endsRunning && call.connection() != null) {
 			TargetConnection connection = call.connection();
 			call.end();
 			connection.abort();
@@ -312,7 +326,7 @@
 	}
 
 	private void ended(HomeCall call) {
-		this.running.remove(call.head().requestId());
+		this.running.remove(call);
 		released();
 	}
 
@@ -320,6 +334,19 @@
 		carryOut(this.queue.release(this.slots, this.fabric.now()));
 	}
 
+	/**
+	 * Gives back the slots of calls that the target will never answer.
+	 */
+	private void endOverdue() {
+		long oldest = now() - OVERDUE_MILLIS;
+		for (HomeCall call : List.copyOf(this.running)) {
+			if (call.head().deadlineAt() < oldest && call.connection() != null) {
+				call.connection().abort();
+				failed(call, FailureReason.TARGET_SILENT, true);
+			}
+		}
+	}
+
 	private void carryOut(Decision<HomeCall> decision) {
 		decision.refused()
 			.forEach((refused) -> refuse(refused.work(), FailureReason.OVERLOADED, (int) refused.returnMillis()));
@@ -352,7 +379,7 @@
 	 * @param call the call
 	 */
 	void permitted(HomeCall call) {
-		this.running.put(call.head().requestId(), call.head().repeat());
+		this.running.add(call);
 		this.fabric.metrics().callStarted(now() - call.receivedAt());
 		TargetConnection connection = takeIdle(call.head().idempotent());
 		if (connection != null) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -151,7 +151,13 @@
 	@Override
 	public void cancel() {
 		this.sink = null;
-		this.home.cancelled(this);
+		this.home.cancelled(this, this.head.idempotent());
+	}
+
+	@Override
+	public void supersede() {
+		this.sink = null;
+		this.home.cancelled(this, false);
 	}
 
 	void replied(ReplyHead reply) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -18,6 +18,7 @@
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.generated.LinkBeat;
 import org.eelgrasspitch.proxy.generated.LinkCall;
+import org.eelgrasspitch.proxy.generated.LinkCancel;
 import org.eelgrasspitch.proxy.generated.LinkCredit;
 import org.eelgrasspitch.proxy.generated.LinkData;
 import org.eelgrasspitch.proxy.generated.LinkHello;
@@ -189,7 +190,7 @@
 			case DEATH ->
 				this.links.died(Digest.of(message.getDeath().getFingerprint(), 0), message.getDeath().getTarget());
 			case START -> started(message.getStart().getStream());
-			case CANCEL -> cancelled(message.getCancel().getStream());
+			case CANCEL -> cancelled(message.getCancel());
 			case REPLY -> replied(message.getReply().getStream(), LinkFrames.reply(message.getReply()));
 			case FAILURE -> failed(message.getFailure().getStream(), LinkFrames.failure(message.getFailure()));
 			case PULL -> this.links.pulled(this, LinkFrames.channel(message.getPull().getDocument()),
@@ -269,11 +270,16 @@
 		}
 	}
 
-	private void cancelled(long stream) {
-		IncomingCall call = this.incoming.remove(stream);
-		if (call != null) {
+	private void cancelled(LinkCancel cancel) {
+		IncomingCall call = this.incoming.remove(cancel.getStream());
+		if (call == null) {
+			return;
+		}
+		if (cancel.isEndsRunning()) {
 			call.flow().cancel();
+			return;
 		}
+		call.flow().supersede();
 	}
 
 	private void replied(long stream, ReplyHead reply) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -79,6 +79,9 @@
 	/** A request is sent to another target. */
 	REQUEST_RETRIED,
 
+	/** A request that takes long is sent to a second target as well. */
+	REQUEST_HEDGED,
+
 	/** A request was refused and has not run. */
 	REQUEST_REFUSED,
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -41,6 +41,8 @@
 
 	private final Counter requests = counter("requests_total", "Requests of callers by what became of them", "outcome");
 
+	private final Counter hedges = counter("hedges_total", "Slow requests sent to a second target as well");
+
 	private final Counter retries = counter("retries_total", "Requests sent to another target, by cause", "cause");
 
 	private final Counter calls = counter("calls_total", "Calls at this home by what became of them", "outcome");
@@ -102,6 +104,10 @@
 		this.retries.labelValues(cause.word()).inc();
 	}
 
+	void hedged() {
+		this.hedges.inc();
+	}
+
 	void callStarted(long waitedMillis) {
 		this.queueSeconds.observe(waitedMillis / MILLIS_PER_SECOND);
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RemoteCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RemoteCall.java
@@ -34,8 +34,17 @@
 
 	@Override
 	public void cancel() {
+		giveUp(true);
+	}
+
+	@Override
+	public void supersede() {
+		giveUp(false);
+	}
+
+	private void giveUp(boolean endsRunning) {
 		this.link.forget(this.stream);
-		this.link.send(LinkMessage.cancel(new LinkCancel(this.stream)));
+		this.link.send(LinkMessage.cancel(new LinkCancel(this.stream, endsRunning)));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -30,11 +30,11 @@
 		return this.trace.isKept();
 	}
 
-	void admitted(MeshRoute route, String service, boolean internal, long allowedMillis, long elapsedMillis, View view,
-			long now) {
-		this.trace.note(LogEvent.REQUEST_ADMITTED, "route", route.name(), "service", service, "from",
-				internal ? "target" : "caller", "allowed_ms", allowedMillis, "elapsed_ms", elapsedMillis,
-				"config_version", view.config().version(), "config_age_ms", now - view.changedAt(SourceChannel.CONFIG));
+	void admitted(Admission admission, View view, long now) {
+		this.trace.note(LogEvent.REQUEST_ADMITTED, "route", admission.route().name(), "service", admission.service(),
+				"from", admission.internal() ? "target" : "caller", "allowed_ms", admission.allowedMillis(),
+				"elapsed_ms", admission.elapsedMillis(), "config_version", view.config().version(), "config_age_ms",
+				now - view.changedAt(SourceChannel.CONFIG));
 	}
 
 	void placed(MeshRoute route, int rank, Choice choice, View view, long leftMillis, long now) {
@@ -50,9 +50,23 @@
 				repeatsLeft);
 	}
 
-	void unavailable(String route, String service, String reason, int tried, long afterMillis, long returnMillis) {
-		this.trace.tell(LogEvent.REQUEST_REFUSED, "route", route, "service", String.valueOf(service), "reason", reason,
-				"tried", tried, "after_ms", afterMillis, "return_ms", returnMillis);
+	void hedged(MeshRoute route, Attempt slow, Attempt second, int repeatsLeft) {
+		this.trace.note(LogEvent.REQUEST_HEDGED, "route", route.name(), "slow", slow.target().id(), "target",
+				second.target().id(), "waited_ms", second.sentAt() - slow.sentAt(), "repeats_left", repeatsLeft);
+	}
+
+	/**
+	 * Tells that a request was refused and has not run.
+	 * @param admission what was decided of it before; null when it was never admitted
+	 * @param reason why
+	 * @param tried targets that were asked
+	 * @param afterMillis its age
+	 * @param returnMillis when its caller was told to come back
+	 */
+	void unavailable(Admission admission, String reason, int tried, long afterMillis, long returnMillis) {
+		this.trace.tell(LogEvent.REQUEST_REFUSED, "route", (admission != null) ? admission.route().name() : "",
+				"service", (admission != null) ? admission.service() : "", "reason", reason, "tried", tried, "after_ms",
+				afterMillis, "return_ms", returnMillis);
 	}
 
 	void refused(CallerRequest request, HttpResponseStatus status, String reason) {
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -65,8 +65,11 @@
   3: required i32 bytes
 }
 
+// Gives a call up. Work that waits is dropped.
 struct LinkCancel {
   1: required i64 stream
+  // Whether work that runs is ended if it may be repeated; otherwise it is left to finish.
+  2: required bool endsRunning
 }
 
 // The home has a slot for a call that must not run twice.
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -65,6 +65,24 @@
     When a requester at desk-a sends one behind another: /desk/wait400 /desk/wait10 /desk/wait400 /desk/ok
     Then it gets 4 answers, the last one from desk-a, within 1100 ms
 
+  Scenario: A lookup that stalls at its server is answered by another one
+    When a requester at desk-a sends GET /desk/stall-i-desk-a
+    Then it gets status 200 with "from i-desk-b"
+    And the answer came within 1000 ms
+    And the metrics of desk-a say "eelgrasspitch_proxy_hedges_total 1.0"
+
+  Scenario: A payment that stalls at its server is not sent to another one
+    When a requester at desk-a sends POST /pay/stall-i-pay-a
+    Then it gets status 504
+    And 1 server received it, 1 times in all
+
+  Scenario: Requests that a server never answers do not keep their slots
+    When a requester at desk-a sends POST /pay/stall-i-pay-a
+    And a requester at desk-a sends POST /pay/stall-i-pay-a
+    And 1500 ms pass
+    And a requester at desk-a sends POST /pay/ok
+    Then it gets status 200 with "from i-pay-a"
+
   Scenario: A requester that leaves ends its lookup at the server
     When a requester at pay-a sends GET /desk/wait1500 and leaves after 200 ms
     Then within 3 s nothing runs at desk-a
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -30,6 +30,9 @@
 
 	private static final long BIND_PAUSE_MILLIS = 20;
 
+	/** How long a request takes that stalls at this server. */
+	private static final long STALL_MILLIS = 60_000;
+
 	private static final int LONG_BODY = 300_000;
 
 	private final ServerSocket socket;
@@ -231,6 +234,9 @@
 			case "chunked" -> raw(output, "HTTP/1.1 200 OK\r\n" + own
 					+ "Transfer-Encoding: chunked\r\n\r\n4\r\nfrom\r\n2\r\n t\r\n0\r\n\r\n");
 			default -> {
+				if (behaviour.equals("stall-" + this.id)) {
+					TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+				}
 				if (behaviour.startsWith("wait")) {
 					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("wait".length())));
 				}
