Give a leaving target nothing that waited for long; ask far peers for documents last

Cause: calls that wait at the home of a target that has announced its leaving were started whenever a slot became free, also later than targets take requests (scenario failed first: 200 from the leaving target).

Ruled out: refusing what waits at once; the target could still serve it for a second.

Change: Departure lets calls start for a second after the leaving became known, then the home refuses what waits, so that it is placed elsewhere. Peers of the own failure domain are asked for documents after 400 ms, others after 800 ms.

Scenarios of the store, of changes and of departures: 23 passed.

--- a/core/src/main/java/org/eelgrasspitch/mesh/HomeQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/HomeQueue.java
@@ -89,6 +89,16 @@
 		return this.waiting.removeIf((entry) -> entry.job.work() == work);
 	}
 
+	/**
+	 * Takes all waiting work out of the queue.
+	 * @return the work in its order
+	 */
+	public List<T> clear() {
+		List<T> all = this.waiting.stream().map((entry) -> entry.job.work()).toList();
+		this.waiting.clear();
+		return all;
+	}
+
 	/**
 	 * Starts what fits and refuses what cannot be served any more.
 	 * @param slots requests that may run at a time
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Home.java
@@ -101,8 +101,11 @@
 
 	private boolean down;
 
+	/** Whether this node is about to stop. */
 	private boolean leaving;
 
+	private final Departure departure;
+
 	private double failureShare;
 
 	/** Calls that were given to the target and have not ended. */
@@ -116,6 +119,7 @@
 	Home(Fabric fabric) {
 		this.fabric = fabric;
 		this.bootstrap = Connections.client(fabric.loop());
+		this.departure = new Departure(fabric.loop(), this::withdraw);
 		fabric.loop()
 			.scheduleAtFixedRate(this::endOverdue, OVERDUE_TICK_MILLIS, OVERDUE_TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -131,6 +135,9 @@
 	void use(Directory directory) {
 		Optional<TargetEntry> own = directory.at(this.fabric.settings().service(),
 				this.fabric.settings().targetAddress());
+		if (own.isPresent() || this.entry != null) {
+			this.departure.published(own.filter((published) -> !published.draining()).isPresent());
+		}
 		if (own.isEmpty()) {
 			return;
 		}
@@ -144,6 +151,14 @@
 		this.slots = this.entry.slots();
 	}
 
+	/**
+	 * Refuses what still waits for a target that is leaving; it can be served elsewhere.
+	 */
+	private void withdraw() {
+		this.queue.clear().forEach((call) -> refuse(call, FailureReason.LEAVING, DOWN_RETURN_MILLIS));
+		this.stateListener.run();
+	}
+
 	HomeLoad load() {
 		return new HomeLoad(state(), this.queue.running(), this.queue.waiting(), this.slots,
 				(int) this.queue.waitMillis(this.slots), (int) this.times.overall(),
@@ -187,7 +202,7 @@
 	 */
 	CallFlow accept(CallHead head, String from, CallSink sink) {
 		HomeCall call = new HomeCall(this, head, sink, new CallLog(this.fabric.log(), head, from), now());
-		if (this.leaving) {
+		if (this.leaving || this.departure.isOver()) {
 			refuse(call, FailureReason.LEAVING, DOWN_RETURN_MILLIS);
 			return call;
 		}
@@ -319,7 +334,7 @@
 	}
 
 	private HomeLoad.State state() {
-		if (this.leaving) {
+		if (this.leaving || this.departure.isOver()) {
 			return HomeLoad.State.LEAVING;
 		}
 		return this.down ? HomeLoad.State.DOWN : HomeLoad.State.UP;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -89,6 +89,10 @@
 		return this.lastHeardAt;
 	}
 
+	boolean isNear() {
+		return this.near;
+	}
+
 	boolean isOpen() {
 		return this.peer != null && this.channel.isActive();
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Links.java
@@ -57,8 +57,18 @@
 	/** Head start of the node that dials first. */
 	private static final long SECOND_DIAL_MILLIS = 600;
 
-	/** How long a peer may be ahead before its documents are asked for. */
-	private static final long BEHIND_MILLIS = 250;
+	/**
+	 * How long a peer of the own failure domain may be ahead before its documents are
+	 * asked for: longer than a follower of the source pauses between two calls, so that a
+	 * node which reaches the source asks nobody.
+	 */
+	private static final long BEHIND_NEAR_MILLIS = 400;
+
+	/**
+	 * The same for a peer of another failure domain: documents of that size between
+	 * failure domains are paid for, and the peers of the own one have been asked before.
+	 */
+	private static final long BEHIND_FAR_MILLIS = 800;
 
 	/** Bytes that hold the length of a frame. */
 	static final int LENGTH_BYTES = 4;
@@ -84,8 +94,14 @@
 
 	private View view = View.EMPTY;
 
-	/** Since when some peer has been ahead, by channel; 0 while none is. */
-	private final long[] behindSince = new long[SourceChannel.values().length];
+	/**
+	 * Since when some peer of the own failure domain has been ahead, by channel; 0 while
+	 * none is.
+	 */
+	private final long[] behindNear = new long[SourceChannel.values().length];
+
+	/** The same for peers of other failure domains. */
+	private final long[] behindFar = new long[SourceChannel.values().length];
 
 	private DocumentExchange documents;
 
@@ -185,9 +201,12 @@
 			if (index >= held.size() || held.get(index) <= this.view.revisions()[index]) {
 				continue;
 			}
-			if (this.behindSince[index] == 0) {
-				this.behindSince[index] = this.fabric.now();
-				this.fabric.loop().schedule(() -> pull(link, channel), BEHIND_MILLIS, TimeUnit.MILLISECONDS);
+			long[] since = link.isNear() ? this.behindNear : this.behindFar;
+			if (since[index] == 0) {
+				since[index] = this.fabric.now();
+				this.fabric.loop()
+					.schedule(() -> pull(link, channel, since), link.isNear() ? BEHIND_NEAR_MILLIS : BEHIND_FAR_MILLIS,
+							TimeUnit.MILLISECONDS);
 			}
 		}
 	}
@@ -224,12 +243,13 @@
 		this.documents.offer(channel, delta, peer);
 	}
 
-	private void pull(Link link, SourceChannel channel) {
+	private void pull(Link link, SourceChannel channel, long[] behind) {
 		int index = channel.ordinal();
-		long since = this.behindSince[index];
-		this.behindSince[index] = 0;
+		long since = behind[index];
+		behind[index] = 0;
 		if (!link.isOpen() || this.view.changedAt(channel) >= since) {
-			// The source has brought something meanwhile; the next heartbeat tells.
+			// The source or another peer has brought something meanwhile; the next
+			// heartbeat tells.
 			return;
 		}
 		link.send(LinkMessage.pull(new LinkPull((byte) index, this.view.revisions()[index])));
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -123,6 +123,15 @@
     Then after 1000 ms no request from pay-a for /desk/ok reaches desk-a
     And for 1 s a requester at pay-a gets status 200 for GET /desk/ok
 
+  Scenario: What waits for a server that is leaving does not reach it late
+    When a requester at desk-a sends GET /pay/wait1500 and does not wait
+    And a requester at desk-a sends GET /pay/wait1500 and does not wait
+    And a requester at desk-a sends GET /pay/ok and does not wait
+    And 100 ms pass
+    And pay-a announces draining
+    Then its answer arrives with status 503
+    And 0 servers received it, 0 times in all
+
   Scenario Outline: While the store is away everything goes on, and what lapsed meanwhile comes back
     When the store <fails>
     Then for 1 s a requester at pay-a gets status 200 for GET /desk/ok
