Use the target of a stopping node for a quarter of its time to stop; bound what is asked and remembered

Cause: a node that is told to stop refused calls for its target at once, though the target lives on, so each planned stop took a target away for 2.3 s more than its restart. In a large service an overloaded request asked every home in turn. DirectoryKeeper remembered every target it ever saw.

Change: the home takes calls for the first quarter of the time to stop; four overloaded homes end the search; 4096 gone targets are remembered. Scenario and unit tests failed first.

--- a/core/src/main/java/org/eelgrasspitch/mesh/DirectoryKeeper.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/DirectoryKeeper.java
@@ -1,6 +1,8 @@
 package org.eelgrasspitch.mesh;
 
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,8 +41,14 @@
 	/** The newest entry of each published or lapsed target. */
 	private final Map<String, TargetEntry> entries = new HashMap<>();
 
-	/** The last entry of each target that was ever seen, to order later ones. */
-	private final Map<String, TargetEntry> last = new HashMap<>();
+	/** Targets that are remembered after they have gone. */
+	private static final int MAX_REMEMBERED = 4_096;
+
+	/**
+	 * The last entry of each target that was seen, to order later ones; of those that
+	 * have gone, the most recent.
+	 */
+	private final Map<String, TargetEntry> last = new LinkedHashMap<>();
 
 	/** When each lapsed target is dropped, in monotonic milliseconds. */
 	private final Map<String, Long> lapsed = new HashMap<>();
@@ -85,11 +93,30 @@
 		if (newest != null && entry.isOlderThan(newest)) {
 			return false;
 		}
+		this.last.remove(entry.id());
 		this.last.put(entry.id(), entry);
+		forgetOldest();
 		this.lapsed.remove(entry.id());
 		return !entry.equals(this.entries.put(entry.id(), entry));
 	}
 
+	/**
+	 * Returns how many targets are remembered, those that have gone included.
+	 * @return the number
+	 */
+	int remembered() {
+		return this.last.size();
+	}
+
+	private void forgetOldest() {
+		Iterator<String> oldest = this.last.keySet().iterator();
+		while (this.last.size() > this.entries.size() + MAX_REMEMBERED && oldest.hasNext()) {
+			if (!this.entries.containsKey(oldest.next())) {
+				oldest.remove();
+			}
+		}
+	}
+
 	/**
 	 * Notes that an entry is no longer published.
 	 * @param id identifier of its target
--- a/core/src/test/java/org/eelgrasspitch/mesh/DirectoryKeeperTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/DirectoryKeeperTests.java
@@ -49,6 +49,18 @@
 		Assert.assertEquals(own.directory().all().size(), 0);
 	}
 
+	@Test
+	public void targetsThatHaveGoneDoNotAddUpForEver() {
+		DirectoryKeeper own = new DirectoryKeeper();
+		own.put(entry("stays", 9, 1, true));
+		for (int i = 0; i < 20_000; i++) {
+			own.put(entry("t" + i, 1, 1, false));
+			own.remove("t" + i, 1_000);
+		}
+		Assert.assertTrue(own.remembered() < 5_000, "remembered: " + own.remembered());
+		Assert.assertFalse(own.put(entry("stays", 8, 1, false)), "a target that is there is never forgotten");
+	}
+
 	@Test
 	public void lapsedEntriesAreKeptUntilTheyHadTimeToComeBack() {
 		this.keeper.put(entry("t1", 1, 1, false));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Attempts.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempts.java
@@ -9,6 +9,13 @@
  */
 final class Attempts {
 
+	/**
+	 * Homes that may say that they are overloaded before the caller is told: each was the
+	 * best of several by its last word, so a further one hardly has room, and asking all
+	 * of a large service costs both sides more than the refusal.
+	 */
+	private static final int MOST_OVERLOADED = 4;
+
 	/** Identifiers of all targets that were chosen. */
 	private final Set<String> tried = new HashSet<>();
 
@@ -26,6 +33,9 @@
 	/** Earliest return that a home has named, in milliseconds; 0 when none has. */
 	private int returnMillis;
 
+	/** Homes that were overloaded. */
+	private int overloaded;
+
 	/** How the last attempt failed; null when none has. */
 	private FailureReason lastReason;
 
@@ -108,6 +118,7 @@
 	 */
 	boolean failed(Attempt over, CallFailure failure) {
 		this.lastReason = failure.reason();
+		this.overloaded += (failure.reason() == FailureReason.OVERLOADED) ? 1 : 0;
 		this.mayHaveRun |= failure.mayHaveRun();
 		this.reached += failure.reachedTarget() ? 1 : 0;
 		if (failure.returnMillis() > 0) {
@@ -119,6 +130,14 @@
 		return this.first != null;
 	}
 
+	/**
+	 * Tells whether another home may be asked after one that has refused.
+	 * @return false when enough were overloaded
+	 */
+	boolean mayAskAnother() {
+		return this.overloaded < MOST_OVERLOADED;
+	}
+
 	boolean isAlone(Attempt attempt) {
 		return other(attempt) == null;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -304,7 +304,7 @@
 			return false;
 		}
 		if (!failure.reachedTarget()) {
-			return true;
+			return this.attempts.mayAskAnother();
 		}
 		long now = now();
 		return reached < route().maxAttempts() && now + REPEAT_MILLIS < this.admission.deadlineAt()
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -30,6 +30,13 @@
 	/** Callers are led away within this time after readiness was withdrawn. */
 	private static final long LEAD_AWAY_MILLIS = 2_300;
 
+	/**
+	 * Part of the time to stop in which the home still takes calls for its target, which
+	 * may live on: long enough to shorten the gap until the next start, and early enough
+	 * for nearly all of them to end in the rest of the time.
+	 */
+	private static final double HOME_SHARE = 0.25;
+
 	/** Time reserved for ending before the process is ended by force. */
 	private static final long END_MILLIS = 400;
 
@@ -125,8 +132,9 @@
 	}
 
 	/**
-	 * Stops in order: withdraws readiness, tells peers, finishes what is in progress, and
-	 * returns when nothing is, or when the time to stop is almost over.
+	 * Stops in order: withdraws readiness, takes calls for the target a little longer,
+	 * tells peers, finishes what is in progress, and returns when nothing is, or when the
+	 * time to stop is almost over.
 	 */
 	public void leave() {
 		long began = this.fabric.now();
@@ -155,7 +163,9 @@
 	private void withdraw() {
 		this.fabric.log().log(LogEvent.NODE_STOPPING, "calls", this.home.inProgress(), "requests", this.entry.active());
 		this.entry.stop();
-		this.home.leave();
+		this.fabric.loop()
+			.schedule(this.home::leave, (long) (HOME_SHARE * this.fabric.settings().stopMillis()),
+					TimeUnit.MILLISECONDS);
 	}
 
 	private int inProgress() {
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -196,6 +196,13 @@
     And for 1 s a requester at pay-a gets status 200 for GET /desk/ok
     And its answer arrives with status 200
 
+  Scenario: The server of a node that stops is used until shortly before the end
+    When the node at pay-a is told to stop
+    Then for 1 s a requester at desk-a gets status 200 for GET /pay/ok
+    When 1500 ms pass
+    And a requester at desk-a sends POST /pay/ok
+    Then it gets status 503
+
   Scenario: Requests are distributed by weight
     Then of 60 requests at desk-a for /split/ok the share that reaches pay servers is 25 % give or take 5
 
