--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -188,6 +188,15 @@
     Then desk-a is ready within 3 s
     And within 1 s a requester at desk-a gets status 200 for GET /desk/ok
 
+  # Listed in KNOWN-RED.txt.
+  @known-red
+  Scenario: A request whose only server is out of reach is refused at once
+    When the node at pay-a dies
+    And 2500 ms pass
+    And a requester at desk-a sends POST /pay/ok
+    Then it gets status 503
+    And the answer came within 100 ms
+
   Scenario: A planned stop cuts off nothing
     When a requester at desk-a sends GET /desk/wait1500 and does not wait
     And 100 ms pass
