--- a/cli/src/test/java/org/eelgrasspitch/cli/OperatorCommandsTests.java
+++ b/cli/src/test/java/org/eelgrasspitch/cli/OperatorCommandsTests.java
@@ -26,14 +26,7 @@
 
 	@Test
 	public void beliefsAreReadFromANode() throws IOException {
-		HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-		server.createContext("/beliefs", (exchange) -> {
-			byte[] body = BELIEFS.getBytes(StandardCharsets.UTF_8);
-			exchange.sendResponseHeaders(200, body.length);
-			exchange.getResponseBody().write(body);
-			exchange.close();
-		});
-		server.start();
+		HttpServer server = nodeThatAnswersAfter(0);
 		try {
 			String address = "127.0.0.1:" + server.getAddress().getPort();
 			Assert.assertEquals(Main.run("beliefs", address), ExitCode.OK);
@@ -47,15 +40,7 @@
 
 	@Test
 	public void beliefsAreReadFromANodeThatAnswersSlowly() throws IOException {
-		HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-		server.createContext("/beliefs", (exchange) -> {
-			LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(3));
-			byte[] body = BELIEFS.getBytes(StandardCharsets.UTF_8);
-			exchange.sendResponseHeaders(200, body.length);
-			exchange.getResponseBody().write(body);
-			exchange.close();
-		});
-		server.start();
+		HttpServer server = nodeThatAnswersAfter(3);
 		try {
 			Assert.assertEquals(Main.run("beliefs", "127.0.0.1:" + server.getAddress().getPort()), ExitCode.OK);
 		}
@@ -83,4 +68,17 @@
 		Assert.assertEquals(Main.run("check-settings", "no-such-file"), ExitCode.FAILED);
 	}
 
+	private static HttpServer nodeThatAnswersAfter(long seconds) throws IOException {
+		HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+		server.createContext("/beliefs", (exchange) -> {
+			LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(seconds));
+			byte[] body = BELIEFS.getBytes(StandardCharsets.UTF_8);
+			exchange.sendResponseHeaders(200, body.length);
+			exchange.getResponseBody().write(body);
+			exchange.close();
+		});
+		server.start();
+		return server;
+	}
+
 }
--- a/core/src/main/java/org/eelgrasspitch/mesh/DirectoryKeeper.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/DirectoryKeeper.java
@@ -38,12 +38,12 @@
 	 */
 	public static final long AWAY_MILLIS = 1_500;
 
-	/** The newest entry of each published or lapsed target. */
-	private final Map<String, TargetEntry> entries = new HashMap<>();
-
 	/** Targets that are remembered after they have gone. */
 	private static final int MAX_REMEMBERED = 4_096;
 
+	/** The newest entry of each published or lapsed target. */
+	private final Map<String, TargetEntry> entries = new HashMap<>();
+
 	/**
 	 * The last entry of each target that was seen, to order later ones; of those that
 	 * have gone, the most recent.
