--- a/core/src/main/java/org/eelgrasspitch/fleet/ReaderRanking.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/ReaderRanking.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 
+import org.eelgrasspitch.misc.RendezvousHash;
 import org.eelgrasspitch.text.Vm;
 import org.eelgrasspitch.text.VmList;
 
@@ -53,7 +54,7 @@
 
 	private List<Vm> ranking(String failureDomain) {
 		return this.rankings.computeIfAbsent(failureDomain,
-				(name) -> RendezvousHash.rank(name, this.vms.ofFailureDomain(name)));
+				(name) -> RendezvousHash.rank(name, this.vms.ofFailureDomain(name), Vm::name));
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/Topology.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/Topology.java
@@ -9,6 +9,7 @@
 
 import org.eelgrasspitch.chart.StateChart;
 import org.eelgrasspitch.chart.Transition;
+import org.eelgrasspitch.misc.RendezvousHash;
 import org.eelgrasspitch.text.Vm;
 import org.eelgrasspitch.text.VmList;
 
@@ -175,7 +176,7 @@
 	 */
 	private List<Vm> startupPeers() {
 		List<Vm> candidates = this.ranking.vms().ofFailureDomain(self().failureDomain());
-		return RendezvousHash.rank(self().vm(), candidates)
+		return RendezvousHash.rank(self().vm(), candidates, Vm::name)
 			.stream()
 			.filter((vm) -> !vm.name().equals(self().vm()))
 			.limit(MAX_STARTUP_PEERS)
--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
@@ -66,6 +66,9 @@
 	 */
 	private long graceEndMillis = Long.MIN_VALUE;
 
+	/** Snapshot of {@link #currentEntries}; null after a change. */
+	private TargetDirectory directory;
+
 	/** Whether the source is unavailable to this node. */
 	private boolean sourceUnavailable;
 
@@ -110,6 +113,7 @@
 		this.lastSeenEntries.put(entry.id(), entry);
 		evictOldest();
 		this.dropTimes.remove(entry.id());
+		this.directory = null;
 		return !entry.equals(this.currentEntries.put(entry.id(), entry));
 	}
 
@@ -148,6 +152,7 @@
 			return Optional.empty();
 		}
 		this.dropTimes.remove(id);
+		this.directory = null;
 		return Optional.of(this.currentEntries.remove(id));
 	}
 
@@ -165,16 +170,20 @@
 		dropped.forEach((entry) -> {
 			this.dropTimes.remove(entry.id());
 			this.currentEntries.remove(entry.id());
+			this.directory = null;
 		});
 		return dropped;
 	}
 
 	/**
 	 * Returns the current directory.
-	 * @return an immutable snapshot
+	 * @return an immutable snapshot; the same object until an entry changes
 	 */
 	public TargetDirectory directory() {
-		return new TargetDirectory(this.currentEntries.values());
+		if (this.directory == null) {
+			this.directory = new TargetDirectory(this.currentEntries.values());
+		}
+		return this.directory;
 	}
 
 }
--- a/core/src/main/java/org/eelgrasspitch/fleet/RendezvousHash.java
+++ b/core/src/main/java/org/eelgrasspitch/misc/RendezvousHash.java
@@ -1,9 +1,9 @@
-package org.eelgrasspitch.fleet;
+package org.eelgrasspitch.misc;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-
-import org.eelgrasspitch.text.Vm;
+import java.util.function.Function;
 
 /**
  * Rendezvous hashing: processes that know the same candidates compute the same ranking
@@ -21,14 +21,18 @@
 	}
 
 	/**
-	 * Ranks VMs for a key.
+	 * Ranks candidates for a key.
+	 * @param <T> type of the candidates
 	 * @param key the key
-	 * @param vms the candidates
+	 * @param candidates the candidates
+	 * @param name returns the name of a candidate
 	 * @return the candidates in descending order of weight; ties are ordered by name
 	 */
-	public static List<Vm> rank(String key, List<Vm> vms) {
-		return vms.stream()
-			.sorted(Comparator.<Vm>comparingLong((vm) -> weight(key, vm.name())).reversed().thenComparing(Vm::name))
+	public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
+		return candidates.stream()
+			.sorted(Comparator.<T>comparingLong((candidate) -> weight(key, name.apply(candidate)))
+				.reversed()
+				.thenComparing(name))
 			.toList();
 	}
 
--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -71,13 +71,15 @@
 	 * @param target identifier of the target: the name of its VM in the node daemon, the
 	 * target's own identifier in the streaming proxy
 	 * @param now current monotonic time in milliseconds
+	 * @return false if this death was known already
 	 */
-	public void recordDeath(Digest fingerprint, String target, long now) {
+	public boolean recordDeath(Digest fingerprint, String target, long now) {
 		dropOld(now);
 		DeathRecord previous = this.deathRecords.remove(fingerprint);
 		Set<String> targets = new HashSet<>((previous != null) ? previous.targets() : Set.of());
-		targets.add(target);
+		boolean added = targets.add(target);
 		this.deathRecords.put(fingerprint, new DeathRecord(targets, now));
+		return added;
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentExchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentExchange.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
 
 /**
  * Exchanges published documents with peers. May be called on any thread.
@@ -14,7 +15,7 @@
 	 * @param channel the document
 	 * @param since revision that the peer holds; 0 for the complete document
 	 * @param answer receives the delta, or the complete document if the changes since
-	 * that revision are not known any more; called on any thread
+	 * that revision are not known any more; called on the thread that owns the documents
 	 */
 	void deltaSince(SourceChannel channel, long since, Consumer<SourceDelta> answer);
 
@@ -27,4 +28,12 @@
 	 */
 	void offer(SourceChannel channel, SourceDelta delta, String peer);
 
+	/**
+	 * Decompresses a document received from a peer and applies it like {@link #offer}. A
+	 * malformed document is logged and ignored.
+	 * @param packed the compressed document
+	 * @param peer name of the peer's VM
+	 */
+	void offerPacked(LinkPackedDocument packed, String peer);
+
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -245,16 +245,15 @@
 	}
 
 	/**
-	 * Returns whether a service has targets without a usable link, to which a link may
-	 * open soon.
+	 * Returns whether a link to a target of a service is likely to open soon.
 	 * @param service name of the service
 	 * @return true if there is such a target
 	 */
-	boolean hasUnlinkedTarget(String service) {
+	boolean hasExpectedTarget(String service) {
 		return this.state.directory()
 			.targetsOf(service)
 			.stream()
-			.anyMatch((target) -> !target.draining() && !isOwnTarget(target) && this.links.linkTo(target).isEmpty());
+			.anyMatch((target) -> !target.draining() && !isOwnTarget(target) && this.links.isLinkExpected(target));
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -211,7 +211,7 @@
 			this.linkWaitUntilMillis = now + LINK_WAIT_MILLIS;
 		}
 		if (this.attempts.triedTargets().isEmpty() && now < this.linkWaitUntilMillis
-				&& this.entry.hasUnlinkedTarget(this.admission.service())) {
+				&& this.entry.hasExpectedTarget(this.admission.service())) {
 			this.entry.context().loop().schedule(this::chooseTarget, LINK_POLL_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -11,8 +11,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.apache.thrift.TException;
+import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetLoad;
 import org.eelgrasspitch.misc.Addresses;
 import org.eelgrasspitch.misc.Digest;
@@ -28,15 +30,39 @@
  * Connection to a peer node. It carries calls in both directions, heartbeats and
  * published documents.
  * <p>
- * Each side sends a heartbeat every {@link LinkManager#HEARTBEAT_INTERVAL_MILLIS}. A link
- * on which nothing has been received for {@link LinkManager#LINK_TIMEOUT_MILLIS} is
- * closed; this detects crashed peers and half-open connections. When a link is lost, its
- * calls end on both sides. The entry node treats them as calls that may have run, except
- * non-idempotent ones whose start it has not permitted; the home cancels them, which
- * drops those still waiting and aborts running ones that are idempotent.
+ * Each side sends heartbeats: every {@link #HEARTBEAT_INTERVAL_MILLIS} to peers in its
+ * failure domain and on a link that carries calls, otherwise every
+ * {@link #IDLE_HEARTBEAT_INTERVAL_MILLIS}, because traffic between failure domains is
+ * charged for. A link on which nothing has been received for the interval and
+ * {@link #SILENCE_MILLIS} more is closed; this detects crashed peers and half-open
+ * connections. When a link is lost, its calls end on both sides. The entry node treats
+ * them as calls that may have run, except non-idempotent ones whose start it has not
+ * permitted; the home cancels them, which drops those still waiting and aborts running
+ * ones that are idempotent.
  */
 final class Link extends SimpleChannelInboundHandler<ByteBuf> {
 
+	/** Interval of heartbeats within a failure domain and on links in use. */
+	static final long HEARTBEAT_INTERVAL_MILLIS = 500;
+
+	/** Interval of heartbeats on an idle link between failure domains. */
+	static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 1_500;
+
+	/** Time after the last call for which a link counts as in use. */
+	private static final long USE_MILLIS = 2_000;
+
+	/**
+	 * Delay of a heartbeat after which a link is not used for new calls. Covers the tick
+	 * in which heartbeats are sent and a round trip.
+	 */
+	private static final long SUSPECT_DELAY_MILLIS = 300;
+
+	/**
+	 * Delay of a heartbeat after which a link is lost: one more heartbeat plus the
+	 * scheduling delay of a slow machine.
+	 */
+	private static final long SILENCE_MILLIS = 1_100;
+
 	private final LinkManager links;
 
 	/** Whether this node opened the connection. */
@@ -56,6 +82,15 @@
 	/** Whether the peer is in this node's failure domain; true until its hello. */
 	private boolean near = true;
 
+	/** Capacity of the peer's network link in megabits per second; 0 if unknown. */
+	private int peerCapacityMegabits;
+
+	/** Whether the peer accepts documents that it has not requested. */
+	private boolean acceptsPushes;
+
+	/** What the peer last reported about the source. */
+	private Report peerReport = Report.NONE;
+
 	private TargetLoad load = TargetLoad.UNKNOWN;
 
 	/** Number of calls sent since the peer last reported its load. */
@@ -63,6 +98,16 @@
 
 	private long lastReceivedAtMillis;
 
+	private long openedAtMillis;
+
+	private long lastHeartbeatSentAtMillis;
+
+	/** Time of the last call opened on this link in either direction. */
+	private long lastCallAtMillis = Long.MIN_VALUE / 2;
+
+	/** Time since which the link is in use; the peer sends frequent heartbeats since. */
+	private long inUseSinceMillis = Long.MIN_VALUE / 2;
+
 	private long nextStream = 1;
 
 	private boolean flushScheduled;
@@ -95,6 +140,108 @@
 		return this.near;
 	}
 
+	String peerVm() {
+		return this.peerVm;
+	}
+
+	int peerCapacityMegabits() {
+		return this.peerCapacityMegabits;
+	}
+
+	boolean acceptsPushes() {
+		return this.acceptsPushes;
+	}
+
+	Report peerReport() {
+		return this.peerReport;
+	}
+
+	/**
+	 * Returns whether few enough bytes wait to be sent that a document may be added.
+	 * @return false while the connection is congested
+	 */
+	boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
+	/**
+	 * Returns how many bytes wait to be sent.
+	 * @return the number of bytes; 0 if the connection is closed
+	 */
+	long waitingBytes() {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
+	}
+
+	/**
+	 * Returns whether calls may be sent on this link.
+	 * @return true if it is open and not silent
+	 */
+	boolean isUsable() {
+		return isOpen() && silentMillis() <= heartbeatIntervalMillis() + SUSPECT_DELAY_MILLIS;
+	}
+
+	/**
+	 * Returns whether the peer has been silent for so long that the link is lost.
+	 * @return true if it must be closed
+	 */
+	boolean isLost() {
+		return silentMillis() > heartbeatIntervalMillis() + SILENCE_MILLIS;
+	}
+
+	boolean isHeartbeatDue() {
+		return isOpen() && now() - this.lastHeartbeatSentAtMillis >= heartbeatIntervalMillis();
+	}
+
+	void sendHeartbeat(EncodedMessage heartbeat) {
+		this.lastHeartbeatSentAtMillis = now();
+		send(heartbeat);
+	}
+
+	/**
+	 * Returns whether the link carries no call and has carried none lately.
+	 * @return true if it is idle
+	 */
+	boolean isIdle() {
+		return this.outgoingCalls.isEmpty() && this.incomingCalls.isEmpty()
+				&& now() - this.lastCallAtMillis > USE_MILLIS;
+	}
+
+	long lastCallAtMillis() {
+		return this.lastCallAtMillis;
+	}
+
+	long openedAtMillis() {
+		return this.openedAtMillis;
+	}
+
+	boolean isOutbound() {
+		return this.outbound;
+	}
+
+	private long heartbeatIntervalMillis() {
+		return (this.near || !isIdle()) ? HEARTBEAT_INTERVAL_MILLIS : IDLE_HEARTBEAT_INTERVAL_MILLIS;
+	}
+
+	/**
+	 * Returns the time for which no expected message has arrived. An idle link that is
+	 * used again counts as not silent at first.
+	 */
+	private long silentMillis() {
+		return now() - Math.max(this.lastReceivedAtMillis, this.inUseSinceMillis);
+	}
+
+	private void recordUse() {
+		if (isIdle() && !this.near) {
+			this.inUseSinceMillis = now();
+		}
+		this.lastCallAtMillis = now();
+	}
+
+	private long now() {
+		return this.links.context().now();
+	}
+
 	boolean isOpen() {
 		return this.peer != null && this.channel.isActive();
 	}
@@ -106,6 +253,7 @@
 	 * @return handle for the body and later control messages
 	 */
 	CallHandle open(CallHead head, CallListener listener) {
+		recordUse();
 		OutgoingCall call = new OutgoingCall(this, this.nextStream++, listener);
 		this.outgoingCalls.put(call.stream(), call);
 		this.sentSinceReport++;
@@ -119,11 +267,14 @@
 	 * @param message the message
 	 */
 	void send(LinkMessage message) {
-		byte[] frame = LinkFrames.encode(message);
+		send(EncodedMessage.of(message));
+	}
+
+	void send(EncodedMessage message) {
 		this.links.context()
 			.metrics()
-			.sent(message.getSetField(), this.near, frame.length + LinkManager.LENGTH_PREFIX_BYTES);
-		this.channel.write(Unpooled.wrappedBuffer(frame));
+			.sent(message.kind(), this.near, message.frame().length + LinkManager.LENGTH_PREFIX_BYTES);
+		this.channel.write(Unpooled.wrappedBuffer(message.frame()));
 		if (!this.flushScheduled) {
 			this.flushScheduled = true;
 			this.channel.eventLoop().execute(() -> {
@@ -153,16 +304,19 @@
 
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
-		this.lastReceivedAtMillis = this.links.context().now();
+		this.openedAtMillis = now();
+		this.lastReceivedAtMillis = this.openedAtMillis;
 		this.links.connectionOpened(this);
 		ProxySettings settings = this.links.context().settings();
-		send(LinkMessage.hello(new LinkHello(settings.vm(), settings.failureDomain(),
-				Addresses.format(settings.linkAddress()), this.links.incarnation())));
+		send(LinkMessage
+			.hello(new LinkHello(settings.vm(), settings.failureDomain(), Addresses.format(settings.linkAddress()),
+					this.links.incarnation())
+				.setCapacity(settings.linkCapacityMegabits())));
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws TException {
-		this.lastReceivedAtMillis = this.links.context().now();
+		this.lastReceivedAtMillis = now();
 		LinkMessage message = LinkFrames.decode(ByteBufUtil.getBytes(frame));
 		if (this.peer == null && !message.isSetHello()) {
 			throw new TException("first message on the link is not a hello");
@@ -196,16 +350,15 @@
 			case DATA -> handleData(message.getData());
 			case CREDIT -> handleCredit(message.getCredit());
 			case START_ASKED -> handleStartAsked(message.getStartAsked().getStream());
-			case DEATH -> this.links.recordCrash(Digest.fromBytes(message.getDeath().getFingerprint(), 0),
-					message.getDeath().getTarget());
+			case DEATH -> this.links.handleCrashNotice(Digest.fromBytes(message.getDeath().getFingerprint(), 0),
+					message.getDeath().getTarget(), this.near);
 			case START -> handleStart(message.getStart().getStream());
 			case CANCEL -> handleCancel(message.getCancel());
 			case REPLY -> handleReply(message.getReply().getStream(), LinkFrames.fromWire(message.getReply()));
 			case FAILURE -> handleFailure(message.getFailure().getStream(), LinkFrames.fromWire(message.getFailure()));
-			case PULL -> this.links.handlePull(this, LinkFrames.channelFromWire(message.getPull().getDocument()),
-					message.getPull().getSince());
-			case DOCUMENT -> this.links.handleDocument(LinkFrames.channelFromWire(message.getDocument().getDocument()),
-					LinkFrames.fromWire(message.getDocument()), this.peerVm);
+			case PULL -> this.links.replicator().handlePull(this, message.getPull());
+			case DOCUMENT -> this.links.replicator().handleDocument(message.getDocument(), this.peerVm);
+			case PACKED -> this.links.replicator().handlePacked(message.getPacked(), this.peerVm);
 		}
 	}
 
@@ -213,13 +366,20 @@
 		this.peer = Addresses.parse(hello.getAddress())
 			.orElseThrow(() -> new TException("invalid address in hello: " + hello.getAddress()));
 		this.peerVm = hello.getVm();
+		this.acceptsPushes = hello.isSetCapacity();
+		this.peerCapacityMegabits = hello.getCapacity();
 		this.near = hello.getFailureDomain().equals(this.links.context().settings().failureDomain());
 		this.links.helloReceived(this, this.peerVm, this.outbound);
 	}
 
 	private void handleHeartbeat(LinkBeat beat) {
 		updateLoad(LinkFrames.fromWire(beat.getLoad()));
-		this.links.handlePeerRevisions(this, beat.getChanges());
+		Report report = LinkFrames.enumConstant(Report.values(), beat.getSource());
+		if (report != this.peerReport) {
+			this.peerReport = report;
+			this.links.updateRole();
+		}
+		this.links.replicator().handlePeerRevisions(this, beat.getChanges());
 	}
 
 	private void updateLoad(TargetLoad reportedLoad) {
@@ -228,6 +388,7 @@
 	}
 
 	private void handleCall(LinkCall call) {
+		recordUse();
 		IncomingCall incoming = new IncomingCall(this, call.getStream());
 		CallHead head = LinkFrames.fromWire(call, this.links.context().now());
 		CallHandle handle = this.links.home().submit(head, this.peerVm, incoming);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
@@ -3,7 +3,9 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
+import java.util.zip.DataFormatException;
 
+import org.apache.thrift.TBase;
 import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -12,12 +14,14 @@
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.SourceItem;
 import org.eelgrasspitch.mesh.TargetLoad;
+import org.eelgrasspitch.misc.Zlib;
 import org.eelgrasspitch.proxy.generated.LinkCall;
 import org.eelgrasspitch.proxy.generated.LinkDocument;
 import org.eelgrasspitch.proxy.generated.LinkFailure;
 import org.eelgrasspitch.proxy.generated.LinkItem;
 import org.eelgrasspitch.proxy.generated.LinkLoad;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
+import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
 import org.eelgrasspitch.proxy.generated.LinkReply;
 
 /**
@@ -44,6 +48,38 @@
 	}
 
 	static byte[] encode(LinkMessage message) {
+		return write(message);
+	}
+
+	static byte[] encodeDocument(LinkDocument document) {
+		return write(document);
+	}
+
+	static LinkPackedDocument pack(byte[] encodedDocument) {
+		return new LinkPackedDocument(encodedDocument.length, ByteBuffer.wrap(Zlib.compress(encodedDocument)));
+	}
+
+	/**
+	 * Decompresses and decodes a document.
+	 * @param packed the compressed document
+	 * @return the document
+	 * @throws TException if it is too long or malformed
+	 */
+	static LinkDocument unpack(LinkPackedDocument packed) throws TException {
+		if (packed.getLength() < 0 || packed.getLength() > MAX_FRAME_BYTES) {
+			throw new TException("packed document of " + packed.getLength() + " bytes");
+		}
+		try {
+			LinkDocument document = new LinkDocument();
+			read(document, Zlib.decompress(packed.getContent(), packed.getLength()));
+			return document;
+		}
+		catch (DataFormatException ex) {
+			throw new TException("packed document cannot be decompressed", ex);
+		}
+	}
+
+	private static byte[] write(TBase<?, ?> message) {
 		try {
 			TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BUFFER_BYTES);
 			message.write(new TCompactProtocol(buffer));
@@ -56,14 +92,18 @@
 
 	static LinkMessage decode(byte[] content) throws TException {
 		LinkMessage message = new LinkMessage();
-		message.read(new TCompactProtocol(new TMemoryInputTransport(LIMITS, content), NO_STRING_LIMIT,
-				MAX_CONTAINER_ELEMENTS));
+		read(message, content);
 		if (message.getSetField() == null) {
 			throw new TException("link message of unknown type");
 		}
 		return message;
 	}
 
+	private static void read(TBase<?, ?> message, byte[] content) throws TException {
+		message.read(new TCompactProtocol(new TMemoryInputTransport(LIMITS, content), NO_STRING_LIMIT,
+				MAX_CONTAINER_ELEMENTS));
+	}
+
 	static LinkLoad toWire(TargetLoad load) {
 		return new LinkLoad((byte) load.state().ordinal(), load.running(), load.waiting(), load.slots(),
 				load.waitMillis(), load.serviceMillis(), load.failurePercent());
@@ -128,7 +168,7 @@
 		return enumConstant(SourceChannel.values(), ordinal);
 	}
 
-	private static <E> E enumConstant(E[] constants, int ordinal) {
+	static <E> E enumConstant(E[] constants, int ordinal) {
 		if (ordinal < 0 || ordinal >= constants.length) {
 			throw new IllegalArgumentException("enum ordinal out of range: " + ordinal);
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -7,51 +7,40 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.mesh.LinkSelection;
+import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.generated.LinkBeat;
 import org.eelgrasspitch.proxy.generated.LinkDeath;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
-import org.eelgrasspitch.proxy.generated.LinkPull;
 import org.eelgrasspitch.request.Quarantine;
 
 /**
- * Manages the links to all peers, which are the nodes on the VMs of published targets.
+ * Manages the links to peers, which are the nodes on the VMs of published targets, as
+ * selected by {@link LinkSelection}.
  * <p>
- * Links are opened in advance, so that no request waits for one. Peers also connect to a
- * node that restarts with an empty routing state, so that it can recover the documents
- * from them while the source is unavailable. One link serves both directions; the node
- * with the lower address connects first, the other one only after
+ * Links are opened in advance, so that no request waits for one, and a link that is not
+ * selected any more is closed only when it has not been used for some time. Peers also
+ * connect to a node that restarts with an empty routing state, so that it can recover the
+ * documents from them while the source is unavailable. One link serves both directions;
+ * the node with the lower address connects first, the other one only after
  * {@link #SECONDARY_DIAL_DELAY_MILLIS}.
  */
 final class LinkManager {
 
-	/** Interval of heartbeats on a link. */
-	static final long HEARTBEAT_INTERVAL_MILLIS = 500;
-
-	/**
-	 * Time without any message after which a link is lost: two heartbeats plus the
-	 * scheduling delay of a slow machine.
-	 */
-	static final long LINK_TIMEOUT_MILLIS = 1_600;
-
-	/**
-	 * Time without any message after which a link is not used for new calls. Longer than
-	 * {@link #HEARTBEAT_INTERVAL_MILLIS}.
-	 */
-	static final long SUSPECT_LINK_MILLIS = 800;
-
 	/**
 	 * Number of distinct targets whose crash quarantines a request. A frequent request
 	 * may be running at a target that crashes for another reason, but that is unlikely to
@@ -59,6 +48,20 @@
 	 */
 	private static final int QUARANTINE_CRASH_THRESHOLD = 3;
 
+	/** Interval of the check for silent and surplus links and due heartbeats. */
+	private static final long LINK_CHECK_INTERVAL_MILLIS = 250;
+
+	/** Interval at which the peers are selected again, as far as they are reachable. */
+	private static final long SELECTION_INTERVAL_MILLIS = 1_000;
+
+	/** Time without a link after which a peer counts as unreachable. */
+	private static final long UNREACHABLE_MILLIS = 1_200;
+
+	/**
+	 * Time without a call after which a link to a peer that is not selected is closed.
+	 */
+	private static final long SURPLUS_LINK_MILLIS = 30_000;
+
 	/** Interval of the check for peers without a link. */
 	private static final long DIAL_INTERVAL_MILLIS = 300;
 
@@ -66,19 +69,11 @@
 	private static final long SECONDARY_DIAL_DELAY_MILLIS = 600;
 
 	/**
-	 * Time for which a peer in the same failure domain may hold a newer revision before
-	 * its documents are pulled. Longer than the interval between two requests of an
-	 * adapter that watches the {@link Source}, so that a node that reaches the source
-	 * pulls from no peer.
-	 */
-	private static final long NEAR_PULL_DELAY_MILLIS = 400;
-
-	/**
-	 * Same as {@link #NEAR_PULL_DELAY_MILLIS} for a peer in another failure domain.
-	 * Documents are large and traffic between failure domains is charged for, so peers in
-	 * the same failure domain are asked first.
+	 * Time after which a link that is missing or silent is no longer expected to open
+	 * soon. Longer than {@link #DIAL_INTERVAL_MILLIS}, so that at least one connection
+	 * attempt falls into it.
 	 */
-	private static final long FAR_PULL_DELAY_MILLIS = 800;
+	private static final long EXPECTED_LINK_MILLIS = 400;
 
 	/** Size of the length prefix of a frame. */
 	static final int LENGTH_PREFIX_BYTES = 4;
@@ -107,37 +102,40 @@
 
 	private RoutingState state = RoutingState.EMPTY;
 
-	/**
-	 * Monotonic time in milliseconds at which a pull from a peer in the same failure
-	 * domain was scheduled because the peer held a newer revision, by channel ordinal; 0
-	 * if none is scheduled.
-	 */
-	private final long[] nearPullScheduledAtMillis = new long[SourceChannel.values().length];
+	/** Monotonic time in milliseconds of the last periodic selection of peers. */
+	private long lastSelectedAtMillis;
+
+	private final LinkSelection selection;
+
+	/** Peers to which this node keeps a link. */
+	private Set<InetAddress> selectedPeers = Set.of();
 
-	/** Same as {@link #nearPullScheduledAtMillis} for peers in other failure domains. */
-	private final long[] farPullScheduledAtMillis = new long[SourceChannel.values().length];
+	private DocumentReplicator replicator;
 
-	private DocumentExchange documentExchange;
+	private SourceRole role;
 
 	LinkManager(ProxyContext context, HomeService home, long incarnation) {
 		this.context = context;
 		this.home = home;
 		this.incarnation = incarnation;
+		this.selection = new LinkSelection(context.settings().vm(), context.settings().failureDomain());
 	}
 
 	/**
 	 * Starts listening, connecting to peers and sending heartbeats.
 	 * @param exchange answers pulls and receives documents from peers
+	 * @param roleListener receives whether this node reads the source
 	 */
-	void start(DocumentExchange exchange) {
-		this.documentExchange = exchange;
-		this.home.onStateChange(this::sendHeartbeats);
+	void start(DocumentExchange exchange, SourceRole.SourceRoleListener roleListener) {
+		this.replicator = new DocumentReplicator(this.context, exchange);
+		this.role = new SourceRole(this.context, roleListener);
+		this.home.onStateChange(() -> sendHeartbeats((link) -> true));
 		Bootstraps.server(this.context.loop())
 			.childHandler(initializer(false))
 			.bind(this.context.settings().linkAddress())
 			.syncUninterruptibly();
 		this.context.loop()
-			.scheduleAtFixedRate(this::sendHeartbeats, HEARTBEAT_INTERVAL_MILLIS, HEARTBEAT_INTERVAL_MILLIS,
+			.scheduleAtFixedRate(this::checkLinks, LINK_CHECK_INTERVAL_MILLIS, LINK_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
 		this.context.loop()
 			.scheduleAtFixedRate(this::dialMissingPeers, DIAL_INTERVAL_MILLIS, DIAL_INTERVAL_MILLIS,
@@ -145,20 +143,66 @@
 	}
 
 	void updateState(RoutingState newState) {
+		RoutingState previous = this.state;
 		this.state = newState;
+		if (newState.directory() != previous.directory()) {
+			selectPeers();
+		}
+		if (newState.sourceReport() != previous.sourceReport()) {
+			// Precedes the documents, whose removals are interpreted by it.
+			sendHeartbeats(Link::isNear);
+		}
+		this.replicator.updateState(newState, usableNearLinks());
+		if (newState.sourceReport() == Report.SERVED
+				&& !Arrays.equals(newState.lastChangeRevisions(), previous.lastChangeRevisions())) {
+			sendHeartbeats((link) -> !link.isNear());
+		}
+		updateRole();
 		dialMissingPeers();
 	}
 
+	/**
+	 * Decides again whether this node reads the source.
+	 */
+	void updateRole() {
+		this.role.update(usableNearLinks(), this.state);
+	}
+
+	private List<Link> usableNearLinks() {
+		return this.linksByPeer.values().stream().filter((link) -> link.isNear() && link.isUsable()).toList();
+	}
+
 	/**
 	 * Returns the link to a target's home.
 	 * @param target the target
-	 * @return the link; empty if none is open or nothing was received on it for longer
-	 * than {@link #SUSPECT_LINK_MILLIS}
+	 * @return the link; empty if none is open or it is silent
 	 */
 	Optional<Link> linkTo(TargetEntry target) {
-		return Optional.ofNullable(this.linksByPeer.get(target.address().getAddress()))
-			.filter(Link::isOpen)
-			.filter((link) -> this.context.now() - link.lastReceivedAtMillis() <= SUSPECT_LINK_MILLIS);
+		return Optional.ofNullable(this.linksByPeer.get(target.address().getAddress())).filter(Link::isUsable);
+	}
+
+	/**
+	 * Returns whether a usable link to a target's home is missing but likely to open
+	 * soon: it was lost, became silent or was first needed at most
+	 * {@link #EXPECTED_LINK_MILLIS} ago. A request that waits for a link that has been
+	 * missing for longer would probably wait until its deadline.
+	 * @param target the target
+	 * @return true if a request may wait for the link
+	 */
+	boolean isLinkExpected(TargetEntry target) {
+		if (linkTo(target).isPresent()) {
+			return false;
+		}
+		long now = this.context.now();
+		InetAddress peer = target.address().getAddress();
+		Link silent = this.linksByPeer.get(peer);
+		if (silent != null) {
+			return now - silent.lastReceivedAtMillis() <= Link.HEARTBEAT_INTERVAL_MILLIS + EXPECTED_LINK_MILLIS;
+		}
+		if (!this.selectedPeers.contains(peer)) {
+			return false;
+		}
+		return now - this.linkMissingSinceMillis.getOrDefault(peer, now) <= EXPECTED_LINK_MILLIS;
 	}
 
 	/**
@@ -166,13 +210,25 @@
 	 * @return the number, including this node
 	 */
 	int estimateNodeCount() {
-		return Math.max(peerAddresses().size() + 1, this.linksByPeer.size() + 1);
+		return Math.max(publishedPeerCount() + 1, this.linksByPeer.size() + 1);
 	}
 
 	int openLinkCount() {
 		return this.linksByPeer.size();
 	}
 
+	/**
+	 * Returns how many bytes wait to be sent.
+	 * @return the number on all links, in bytes
+	 */
+	long waitingBytes() {
+		return this.allLinks.stream().mapToLong(Link::waitingBytes).sum();
+	}
+
+	boolean isReadingSource() {
+		return this.role.isReading();
+	}
+
 	ProxyContext context() {
 		return this.context;
 	}
@@ -195,7 +251,8 @@
 		this.context.log()
 			.logNodeEvent(LogEvent.LINK_OPENED, "peer", vm, "address", link.peer(), "dialled", outbound, "second",
 					previous != null);
-		link.send(heartbeat());
+		link.sendHeartbeat(heartbeat());
+		updateRole();
 	}
 
 	void connectionClosed(Link link, String vm, String reason, int callsLost, int callsDropped) {
@@ -212,82 +269,75 @@
 		this.context.log()
 			.logNodeEvent(LogEvent.LINK_LOST, "peer", vm, "reason", reason, "calls_lost", callsLost, "calls_dropped",
 					callsDropped, "silent_ms", this.context.now() - link.lastReceivedAtMillis());
+		updateRole();
 	}
 
 	/**
-	 * Schedules a pull of each document that has changed at the peer since the revision
-	 * held here.
-	 * @param link link to the peer
-	 * @param lastChangeRevisions revision of the last change of each document at the
-	 * peer, by channel ordinal
+	 * Records that a target crashed while running a request and notifies all peers.
+	 * @param fingerprint the request's fingerprint
+	 * @param target identifier of the target
 	 */
-	void handlePeerRevisions(Link link, List<Long> lastChangeRevisions) {
-		for (SourceChannel channel : SourceChannel.values()) {
-			int index = channel.ordinal();
-			if (index >= lastChangeRevisions.size()
-					|| lastChangeRevisions.get(index) <= this.state.revisions()[index]) {
-				continue;
-			}
-			long[] scheduledAtMillis = link.isNear() ? this.nearPullScheduledAtMillis : this.farPullScheduledAtMillis;
-			if (scheduledAtMillis[index] == 0) {
-				scheduledAtMillis[index] = this.context.now();
-				this.context.loop()
-					.schedule(() -> pull(link, channel, scheduledAtMillis),
-							link.isNear() ? NEAR_PULL_DELAY_MILLIS : FAR_PULL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-			}
-		}
+	void reportCrash(Digest fingerprint, String target) {
+		recordCrash(fingerprint, target);
+		sendCrashNotice(fingerprint, target, (link) -> true);
 	}
 
 	/**
-	 * Records that a target crashed while running a request and notifies all peers.
+	 * Records a crash that a peer reports. A notice from another failure domain is passed
+	 * on within this one, because its sender has links to some of the peers only.
 	 * @param fingerprint the request's fingerprint
 	 * @param target identifier of the target
+	 * @param fromNear whether the peer is in this node's failure domain
 	 */
-	void reportCrash(Digest fingerprint, String target) {
-		recordCrash(fingerprint, target);
-		LinkMessage notice = LinkMessage.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), target));
-		this.linksByPeer.values().stream().filter(Link::isOpen).forEach((link) -> link.send(notice));
+	void handleCrashNotice(Digest fingerprint, String target, boolean fromNear) {
+		if (recordCrash(fingerprint, target) && !fromNear) {
+			sendCrashNotice(fingerprint, target, Link::isNear);
+		}
 	}
 
-	void recordCrash(Digest fingerprint, String target) {
+	private boolean recordCrash(Digest fingerprint, String target) {
 		this.context.log().logNodeEvent(LogEvent.TARGET_DIED, "target", target, "fingerprint", fingerprint);
-		this.quarantine.recordDeath(fingerprint, target, this.context.now());
+		return this.quarantine.recordDeath(fingerprint, target, this.context.now());
 	}
 
-	Quarantine quarantine() {
-		return this.quarantine;
+	private void sendCrashNotice(Digest fingerprint, String target, Predicate<Link> receives) {
+		EncodedMessage notice = EncodedMessage
+			.of(LinkMessage.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), target)));
+		this.linksByPeer.values()
+			.stream()
+			.filter((link) -> link.isOpen() && receives.test(link))
+			.forEach((link) -> link.send(notice));
 	}
 
-	void handlePull(Link link, SourceChannel channel, long since) {
-		this.documentExchange.deltaSince(channel, since, (delta) -> this.context.loop().execute(() -> {
-			if (link.isOpen()) {
-				link.send(LinkMessage.document(LinkFrames.toWire(channel, delta)));
-			}
-		}));
+	DocumentReplicator replicator() {
+		return this.replicator;
 	}
 
-	void handleDocument(SourceChannel channel, SourceDelta delta, String peer) {
-		this.documentExchange.offer(channel, delta, peer);
+	Quarantine quarantine() {
+		return this.quarantine;
 	}
 
-	private void pull(Link link, SourceChannel channel, long[] scheduledAtMillis) {
-		int index = channel.ordinal();
-		long since = scheduledAtMillis[index];
-		scheduledAtMillis[index] = 0;
-		if (!link.isOpen() || this.state.lastDeltaAtMillis(channel) >= since) {
-			// The link is closed, or the source or another peer has delivered a delta
-			// meanwhile, possibly an empty one. If a peer is still ahead, its next
-			// heartbeat shows it.
-			return;
-		}
-		link.send(LinkMessage.pull(new LinkPull((byte) index, this.state.revisions()[index])));
+	private int publishedPeerCount() {
+		return (int) this.state.directory()
+			.all()
+			.stream()
+			.map((entry) -> entry.address().getAddress())
+			.filter((peer) -> !peer.equals(ownAddress()))
+			.distinct()
+			.count();
 	}
 
-	private Set<InetAddress> peerAddresses() {
-		Set<InetAddress> peers = new HashSet<>();
-		this.state.directory().all().forEach((entry) -> peers.add(entry.address().getAddress()));
-		peers.remove(ownAddress());
-		return peers;
+	private void selectPeers() {
+		Set<InetAddress> selected = new LinkedHashSet<>(
+				this.selection.select(this.state.directory().all(), this::isUnreachable));
+		selected.remove(ownAddress());
+		this.selectedPeers = selected;
+		this.linkMissingSinceMillis.keySet().retainAll(selected);
+	}
+
+	private boolean isUnreachable(InetAddress peer) {
+		Long missingSince = this.linkMissingSinceMillis.get(peer);
+		return missingSince != null && this.context.now() - missingSince > UNREACHABLE_MILLIS;
 	}
 
 	private InetAddress ownAddress() {
@@ -296,7 +346,7 @@
 
 	private void dialMissingPeers() {
 		long now = this.context.now();
-		for (InetAddress peer : peerAddresses()) {
+		for (InetAddress peer : this.selectedPeers) {
 			if (this.linksByPeer.containsKey(peer) || this.dialling.contains(peer)) {
 				continue;
 			}
@@ -320,23 +370,49 @@
 			.addListener((future) -> this.dialling.remove(peer));
 	}
 
-	private void sendHeartbeats() {
-		long now = this.context.now();
-		LinkMessage heartbeat = heartbeat();
+	private void checkLinks() {
 		for (Link link : new ArrayList<>(this.allLinks)) {
-			if (now - link.lastReceivedAtMillis() > LINK_TIMEOUT_MILLIS) {
+			if (link.isLost()) {
 				link.close("silent");
-				continue;
 			}
-			if (link.isOpen()) {
-				link.send(heartbeat);
+			else if (isSurplus(link)) {
+				link.close("not needed");
+			}
+		}
+		sendHeartbeats(Link::isHeartbeatDue);
+		updateRole();
+		long now = this.context.now();
+		if (now - this.lastSelectedAtMillis >= SELECTION_INTERVAL_MILLIS) {
+			this.lastSelectedAtMillis = now;
+			selectPeers();
+		}
+	}
+
+	/**
+	 * Returns whether a link that this node opened is neither selected nor used any more.
+	 * A link that the peer opened is closed by the peer.
+	 */
+	private boolean isSurplus(Link link) {
+		return link.isOutbound() && link.isOpen() && link.isIdle()
+				&& !this.selectedPeers.contains(link.peer().getAddress())
+				&& this.context.now() - link.lastCallAtMillis() > SURPLUS_LINK_MILLIS
+				&& this.context.now() - link.openedAtMillis() > SURPLUS_LINK_MILLIS;
+	}
+
+	private void sendHeartbeats(Predicate<Link> receives) {
+		EncodedMessage heartbeat = null;
+		for (Link link : List.copyOf(this.allLinks)) {
+			if (link.isOpen() && receives.test(link)) {
+				heartbeat = (heartbeat != null) ? heartbeat : heartbeat();
+				link.sendHeartbeat(heartbeat);
 			}
 		}
 	}
 
-	private LinkMessage heartbeat() {
+	private EncodedMessage heartbeat() {
 		List<Long> changes = Arrays.stream(this.state.lastChangeRevisions()).boxed().toList();
-		return LinkMessage.beat(new LinkBeat(changes, LinkFrames.toWire(this.home.load())));
+		return EncodedMessage.of(LinkMessage.beat(new LinkBeat(changes, LinkFrames.toWire(this.home.load()))
+			.setSource((byte) this.state.sourceReport().ordinal())));
 	}
 
 	private ChannelInitializer<Channel> initializer(boolean outbound) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -58,6 +58,15 @@
 	/** The source of documents responds again. */
 	SOURCE_RETURNED(5),
 
+	/** This node starts to read the source for its failure domain. */
+	READING_STARTED(5),
+
+	/** This node stops reading the source, because a peer reads it. */
+	READING_STOPPED(5),
+
+	/** A document received from a peer is malformed and was ignored. */
+	PEER_DOCUMENT_REFUSED(5),
+
 	/** A newer revision of a document was received from a peer and applied. */
 	PEER_UPDATE(10),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -72,6 +72,9 @@
 	/** Counters of bytes to peers in other failure domains, by kind of message. */
 	private final Map<LinkMessage._Fields, CounterDataPoint> farBytes = new EnumMap<>(LinkMessage._Fields.class);
 
+	private final DistributionDataPoint loopDelaySeconds = histogram("loop_delay_seconds",
+			"Delay of a periodic task on the event loop that handles requests");
+
 	private final DistributionDataPoint targetSeconds = histogram("target_seconds",
 			"Time from the start of a call at the target to its end");
 
@@ -127,6 +130,10 @@
 		this.hopSeconds.observe(millis / MILLIS_PER_SECOND);
 	}
 
+	void recordLoopDelay(long millis) {
+		this.loopDelaySeconds.observe(millis / MILLIS_PER_SECOND);
+	}
+
 	/**
 	 * Counts the bytes of a message sent to a peer.
 	 * @param kind the kind of message
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -66,6 +66,9 @@
 
 	private final RoutingStateKeeper stateKeeper;
 
+	/** Monotonic time of the last comparison of the clocks, in milliseconds. */
+	private long lastClockCheckAtMillis;
+
 	/** Wall clock minus monotonic clock at the last comparison, in milliseconds. */
 	private long clockOffsetMillis;
 
@@ -83,14 +86,15 @@
 		this.entry = new EntryService(this.context, this.home, this.links);
 		this.source = sourceFactory.apply(control);
 		this.stateKeeper = new RoutingStateKeeper(control, time, decoder, this.context.log(),
-				(state) -> traffic.execute(() -> updateState(state)), this.source::refresh);
+				(state) -> traffic.execute(() -> updateState(state)), this.source);
 		this.server = new EntryServer(this.entry,
 				new NodeStateReporter(this.context, this.entry, this.home, this.links, this.stateKeeper));
 		control.execute(() -> this.source.start(this.stateKeeper));
 		registerGauges();
-		this.links.start(this.stateKeeper);
+		this.links.start(this.stateKeeper, this.stateKeeper);
 		this.server.start();
-		this.clockOffsetMillis = time.wallMillis() - time.monotonicMillis();
+		this.lastClockCheckAtMillis = time.monotonicMillis();
+		this.clockOffsetMillis = time.wallMillis() - this.lastClockCheckAtMillis;
 		traffic.scheduleAtFixedRate(this::detectPause, CLOCK_CHECK_INTERVAL_MILLIS, CLOCK_CHECK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -218,6 +222,10 @@
 	}
 
 	private void detectPause() {
+		long now = this.context.now();
+		this.context.metrics()
+			.recordLoopDelay(Math.max(0, now - this.lastClockCheckAtMillis - CLOCK_CHECK_INTERVAL_MILLIS));
+		this.lastClockCheckAtMillis = now;
 		long offsetMillis = this.context.time().wallMillis() - this.context.now();
 		long pausedMillis = offsetMillis - this.clockOffsetMillis;
 		this.clockOffsetMillis = offsetMillis;
@@ -234,6 +242,9 @@
 		metrics.registerGauge("targets", "Targets that are believed to exist",
 				() -> this.entry.state().directory().all().size());
 		metrics.registerGauge("links", "Open links to peers", this.links::openLinkCount);
+		metrics.registerGauge("link_waiting_bytes", "Bytes that wait to be sent on links", this.links::waitingBytes);
+		metrics.registerGauge("source_reading", "1 while this node reads the source of documents",
+				() -> this.links.isReadingSource() ? 1 : 0);
 		metrics.registerGauge("active_requests", "Requests of callers in progress", this.entry::activeRequests);
 		metrics.registerGauge("running_calls", "Calls that run at the target", () -> this.home.load().running());
 		metrics.registerGauge("waiting_calls", "Calls that wait at this home", () -> this.home.load().waiting());
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
@@ -14,6 +14,8 @@
  * @param metricsAddress address on which metrics are served
  * @param targetAddress address on which the target of this VM listens
  * @param sourceAddress address of the source of published documents
+ * @param linkCapacityMegabits capacity of this VM's network link in megabits per second;
+ * 0 if unknown
  * @param stopMillis time in milliseconds from the stop signal until the process is killed
  * @param retryRatio maximum ratio of retries to requests in a window, 0 to 1, across the
  * fleet
@@ -24,8 +26,8 @@
  */
 public record ProxySettings(String vm, String failureDomain, String service, InetSocketAddress entryAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress linkAddress, InetSocketAddress metricsAddress,
-		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, long stopMillis, double retryRatio,
-		double retryMinimum, long retryWindowMillis, LogDetail logDetail, int logLinesPerSecond) {
+		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, int linkCapacityMegabits, long stopMillis,
+		double retryRatio, double retryMinimum, long retryWindowMillis, LogDetail logDetail, int logLinesPerSecond) {
 
 	/**
 	 * Default of {@code logLinesPerSecond}: enough for the lines of two or three requests
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -22,6 +22,8 @@
 	/** Maximum duration in settings. */
 	private static final double MAX_SECONDS = 3_600;
 
+	private static final double MAX_LINK_MEGABITS = 1_000_000;
+
 	private static final double MAX_RETRIES = 1_000_000;
 
 	private static final int MAX_LOG_LINES_PER_SECOND = 10_000;
@@ -51,6 +53,7 @@
 		return new ProxySettings(fields.text("vm"), fields.text("failureDomain"), fields.text("service"),
 				fields.address("entryAddress"), fields.address("readinessAddress"), fields.address("linkAddress"),
 				fields.address("metricsAddress"), fields.address("targetAddress"), fields.address("sourceAddress"),
+				fields.has("linkMegabits") ? (int) Math.round(fields.number("linkMegabits", 0, MAX_LINK_MEGABITS)) : 0,
 				secondsAsMillis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
 				fields.number("retryMinimum", 0, MAX_RETRIES), secondsAsMillis(fields, "retryWindowSeconds"),
 				fields.oneOf("logDetail", List.of(LogDetail.values()), LogDetail.DEFAULT), fields.integer(
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingState.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingState.java
@@ -1,6 +1,7 @@
 package org.eelgrasspitch.proxy;
 
 import org.eelgrasspitch.mesh.MeshConfig;
+import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetDirectory;
 
 /**
@@ -14,14 +15,15 @@
  * ordinal
  * @param lastDeltaAtMillis monotonic time in milliseconds at which this node last applied
  * a delta of each document, even an empty one, by channel ordinal; 0 before the first
+ * @param sourceReport whether this node reads the source and is served
  */
 record RoutingState(MeshConfig config, TargetDirectory directory, boolean targetsKnown, long[] revisions,
-		long[] lastChangeRevisions, long[] lastDeltaAtMillis) {
+		long[] lastChangeRevisions, long[] lastDeltaAtMillis, Report sourceReport) {
 
 	/** State before any document is read. */
 	static final RoutingState EMPTY = new RoutingState(null, TargetDirectory.EMPTY, false,
 			new long[SourceChannel.values().length], new long[SourceChannel.values().length],
-			new long[SourceChannel.values().length]);
+			new long[SourceChannel.values().length], Report.NONE);
 
 	boolean isComplete() {
 		return this.config != null && this.targetsKnown;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.proxy;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -8,14 +10,18 @@
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import org.apache.thrift.TException;
 import org.eelgrasspitch.mesh.MeshConfig;
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.SourceDocument;
 import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.mesh.TargetRegistry;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.misc.TimeSource;
+import org.eelgrasspitch.proxy.generated.LinkDocument;
+import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
 
 /**
  * Maintains the configuration and the targets from deltas of the source and of peers, and
@@ -24,13 +30,23 @@
  * <p>
  * A configuration is decoded completely before it replaces the previous one, and only if
  * its version is newer, so a node never reverts to an older configuration and never
- * applies one partially.
+ * applies one partially. While it is decoded, newer versions that arrive replace one
+ * another, so that a series of versions takes at most about half of the processor time.
+ * <p>
+ * The source counts as unavailable while it answers neither this node, if it reads the
+ * source, nor any peer of the failure domain that does.
  */
-final class RoutingStateKeeper implements SourceListener, DocumentExchange {
+final class RoutingStateKeeper implements SourceListener, DocumentExchange, SourceRole.SourceRoleListener {
 
 	/** Minimum duration of a source outage in which target entries may expire. */
 	private static final long MIN_OUTAGE_MILLIS = 800;
 
+	/**
+	 * Maximum number of configurations kept until they are decoded. An older one is used
+	 * only if the newer ones are invalid.
+	 */
+	private static final int MAX_PENDING_CONFIGS = 3;
+
 	private final ScheduledExecutorService control;
 
 	private final TimeSource time;
@@ -41,7 +57,7 @@
 
 	private final Consumer<RoutingState> publisher;
 
-	private final Runnable peerUpdateListener;
+	private final Source source;
 
 	private final Map<SourceChannel, SourceDocument> documents = new EnumMap<>(SourceChannel.class);
 
@@ -49,19 +65,38 @@
 
 	private final long[] lastDeltaAtMillis = new long[SourceChannel.values().length];
 
+	/** Whether the source is unavailable. */
 	private volatile boolean sourceLost;
 
+	/**
+	 * Monotonic time in milliseconds at which the source became unavailable; meaningless
+	 * unless {@link #sourceLost}.
+	 */
+	private long sourceLostAtMillis;
+
+	/** Whether this node reads the source, and with what result. */
+	private Report ownReport = Report.NONE;
+
+	/** What the peers of the failure domain report. */
+	private Report nearReport = Report.NONE;
+
+	/** Configurations not decoded yet, newest first. */
+	private final Deque<SourceItem> pendingConfigs = new ArrayDeque<>();
+
+	/** Monotonic time in milliseconds before which no configuration is decoded. */
+	private long nextDecodeAtMillis;
+
 	/** Current configuration; null before the first one is applied. */
 	private MeshConfig config;
 
 	RoutingStateKeeper(ScheduledExecutorService control, TimeSource time, DocumentDecoder decoder, DecisionLog log,
-			Consumer<RoutingState> publisher, Runnable peerUpdateListener) {
+			Consumer<RoutingState> publisher, Source source) {
 		this.control = control;
 		this.time = time;
 		this.decoder = decoder;
 		this.log = log;
 		this.publisher = publisher;
-		this.peerUpdateListener = peerUpdateListener;
+		this.source = source;
 		for (SourceChannel channel : SourceChannel.values()) {
 			this.documents.put(channel, new SourceDocument());
 		}
@@ -77,19 +112,67 @@
 
 	@Override
 	public void documentRead(SourceChannel channel, SourceDelta delta) {
+		if (this.ownReport != Report.SERVED) {
+			this.ownReport = Report.SERVED;
+			updateAvailability("");
+			publish();
+		}
 		apply(channel, delta);
 	}
 
 	@Override
 	public void sourceLost(String reason) {
-		this.sourceLost = true;
-		this.targetRegistry.sourceLost();
-		this.log.logNodeEvent(LogEvent.SOURCE_LOST, "reason", reason, "config_revision", revision(SourceChannel.CONFIG),
-				"targets_revision", revision(SourceChannel.TARGETS));
+		this.ownReport = Report.UNSERVED;
+		updateAvailability(reason);
+		publish();
 	}
 
 	@Override
 	public void sourceReturned(long outageMillis) {
+		this.ownReport = Report.SERVED;
+		updateAvailability("");
+		publish();
+	}
+
+	@Override
+	public void readingChanged(boolean reading) {
+		this.control.execute(() -> {
+			this.ownReport = Report.NONE;
+			if (reading) {
+				this.source.resume(Math.min(revision(SourceChannel.CONFIG), revision(SourceChannel.TARGETS)));
+			}
+			else {
+				this.source.pause();
+			}
+			updateAvailability("");
+			publish();
+		});
+	}
+
+	@Override
+	public void nearReportChanged(Report report) {
+		this.control.execute(() -> {
+			this.nearReport = report;
+			updateAvailability("reported by peers");
+		});
+	}
+
+	private void updateAvailability(String reason) {
+		boolean served = this.ownReport == Report.SERVED || this.nearReport == Report.SERVED;
+		boolean unserved = this.ownReport == Report.UNSERVED || this.nearReport == Report.UNSERVED;
+		if (served && this.sourceLost) {
+			handleSourceReturned(this.time.monotonicMillis() - this.sourceLostAtMillis);
+		}
+		else if (!served && unserved && !this.sourceLost) {
+			this.sourceLost = true;
+			this.sourceLostAtMillis = this.time.monotonicMillis();
+			this.targetRegistry.sourceLost();
+			this.log.logNodeEvent(LogEvent.SOURCE_LOST, "reason", reason, "config_revision",
+					revision(SourceChannel.CONFIG), "targets_revision", revision(SourceChannel.TARGETS));
+		}
+	}
+
+	private void handleSourceReturned(long outageMillis) {
 		this.sourceLost = false;
 		this.log.logNodeEvent(LogEvent.SOURCE_RETURNED, "absent_ms", outageMillis);
 		if (outageMillis < MIN_OUTAGE_MILLIS) {
@@ -112,7 +195,22 @@
 			if (apply(channel, delta)) {
 				this.log.logNodeEvent(LogEvent.PEER_UPDATE, "peer", peer, "document", channel, "from_revision",
 						heldRevision, "to_revision", delta.to(), "items", delta.items().size());
-				this.peerUpdateListener.run();
+				if (this.ownReport != Report.NONE) {
+					this.source.refresh();
+				}
+			}
+		});
+	}
+
+	@Override
+	public void offerPacked(LinkPackedDocument packed, String peer) {
+		this.control.execute(() -> {
+			try {
+				LinkDocument document = LinkFrames.unpack(packed);
+				offer(LinkFrames.channelFromWire(document.getDocument()), LinkFrames.fromWire(document), peer);
+			}
+			catch (TException | IllegalArgumentException ex) {
+				this.log.logNodeEvent(LogEvent.PEER_DOCUMENT_REFUSED, "peer", peer, "reason", ex.getMessage());
 			}
 		});
 	}
@@ -129,32 +227,63 @@
 		long now = this.time.monotonicMillis();
 		this.lastDeltaAtMillis[channel.ordinal()] = now;
 		switch (channel) {
-			case CONFIG -> delta.items().forEach(this::applyConfig);
+			case CONFIG -> delta.items().forEach(this::decodeLater);
 			case TARGETS -> applyTargets(delta, removed, now);
 		}
 		publish();
 		return true;
 	}
 
-	private void applyConfig(SourceItem item) {
+	private void decodeLater(SourceItem item) {
+		boolean scheduled = !this.pendingConfigs.isEmpty();
+		this.pendingConfigs.push(item);
+		if (this.pendingConfigs.size() > MAX_PENDING_CONFIGS) {
+			this.pendingConfigs.removeLast();
+		}
+		if (!scheduled) {
+			long delayMillis = Math.max(0, this.nextDecodeAtMillis - this.time.monotonicMillis());
+			this.control.schedule(this::decodePending, delayMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	/**
+	 * Applies the newest pending configuration that is valid and drops the others.
+	 */
+	private void decodePending() {
+		long startMillis = this.time.monotonicMillis();
+		while (!this.pendingConfigs.isEmpty() && !applyConfig(this.pendingConfigs.pop())) {
+			// The problem of this one is logged; an older one may be valid.
+		}
+		this.pendingConfigs.clear();
+		long endMillis = this.time.monotonicMillis();
+		this.nextDecodeAtMillis = endMillis + (endMillis - startMillis);
+		publish();
+	}
+
+	/**
+	 * Decodes a configuration and puts it in force if it is newer.
+	 * @return false if it is invalid
+	 */
+	private boolean applyConfig(SourceItem item) {
 		Either<List<Problem>, MeshConfig> decoded = this.decoder.config(item);
 		if (decoded.isLeft()) {
 			this.log.logNodeEvent(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "problems",
 					decoded.getLeft().size(), "first", decoded.getLeft().getFirst());
-			return;
+			return false;
 		}
 		MeshConfig newConfig = decoded.get();
 		if (this.config != null && newConfig.version() == this.config.version()) {
-			return;
+			return true;
 		}
 		if (this.config != null && newConfig.version() < this.config.version()) {
 			this.log.logNodeEvent(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "version", newConfig.version(),
 					"held", this.config.version());
-			return;
+			return true;
 		}
 		this.config = newConfig;
 		this.log.logNodeEvent(LogEvent.CONFIG_APPLIED, "version", newConfig.version(), "revision", item.revision(),
 				"routes", newConfig.routes().all().size());
+		return true;
 	}
 
 	private void applyTargets(SourceDelta delta, List<String> removed, long now) {
@@ -200,8 +329,9 @@
 		long[] revisions = { revision(SourceChannel.CONFIG), revision(SourceChannel.TARGETS) };
 		long[] changes = { this.documents.get(SourceChannel.CONFIG).lastChangeRevision(),
 				this.documents.get(SourceChannel.TARGETS).lastChangeRevision() };
-		this.publisher.accept(new RoutingState(this.config, this.targetRegistry.directory(),
-				revision(SourceChannel.TARGETS) > 0, revisions, changes, this.lastDeltaAtMillis.clone()));
+		this.publisher
+			.accept(new RoutingState(this.config, this.targetRegistry.directory(), revision(SourceChannel.TARGETS) > 0,
+					revisions, changes, this.lastDeltaAtMillis.clone(), this.ownReport));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Source.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Source.java
@@ -17,4 +17,17 @@
 	 */
 	void refresh();
 
+	/**
+	 * Stops reading until {@link #resume}. Neither documents nor changes of the
+	 * availability are reported meanwhile. Called on the control thread.
+	 */
+	void pause();
+
+	/**
+	 * Reads and watches the documents again after a pause. Called on the control thread.
+	 * @param revision revision up to which all documents are complete; changes before it
+	 * are not reported again. If it is 0, the complete documents are read.
+	 */
+	void resume(long revision);
+
 }
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -10,6 +10,9 @@
   3: required string address
   // Random number that identifies this run of the sender.
   4: required i64 incarnation
+  // Capacity of the sender's link in megabits per second; 0: unknown. A sender without this field neither accepts
+  // documents that it has not requested nor packed ones.
+  5: optional i32 capacity
 }
 
 // Load of a target and of the queue at its home.
@@ -32,6 +35,8 @@
 struct LinkBeat {
   1: required list<i64> changes
   2: required LinkLoad load
+  // 0 or absent: the sender does not read the source of documents; 1: the source answers it; 2: it does not
+  3: optional i8 source
 }
 
 // Opens a call. Stream numbers are assigned by the side that opens the call.
@@ -124,6 +129,8 @@
   1: required i8 document
   // Revision that the sender holds; 0: the complete document is requested
   2: required i64 since
+  // Whether the sender accepts a packed document.
+  3: optional bool packed
 }
 
 struct LinkItem {
@@ -143,6 +150,13 @@
   5: required list<string> removed
 }
 
+// A document in a smaller form: a LinkDocument in the compact protocol, compressed in zlib format.
+struct LinkPackedDocument {
+  // Length of the LinkDocument before compression, in bytes
+  1: required i32 length
+  2: required binary content
+}
+
 // A target crashed while running a request.
 struct LinkDeath {
   1: required binary fingerprint
@@ -163,4 +177,5 @@
   11: LinkStartAsked startAsked
   12: LinkStart start
   13: LinkDeath death
+  14: LinkPackedDocument packed
 }
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -48,6 +48,9 @@
 
 	private int deadlyStarts;
 
+	/** A VM beside the one whose node died. */
+	private String survivor;
+
 	@After
 	public void close() {
 		if (this.world != null) {
@@ -221,6 +224,21 @@
 		Assert.assertTrue(beliefs.contains(part), beliefs);
 	}
 
+	@Then("one of the nodes at {} reads the store")
+	public void oneReader(String vms) throws IOException {
+		Assert.assertEquals(this.world.sourceReaders(vms).size(), 1, vms);
+	}
+
+	@When("the node at {} that reads the store dies")
+	public void readerDies(String vms) throws IOException {
+		this.survivor = this.world.closeSourceReader(vms);
+	}
+
+	@Then("within {int} s a requester at its failure domain gets status {int} for GET {word}")
+	public void awaitStatusOfSurvivor(int seconds, int status, String path) {
+		awaitStatus(seconds, this.survivor, status, path);
+	}
+
 	@When("the operators remove the further route")
 	public void removeRoute() {
 		this.world.publish("", "");
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -130,7 +130,7 @@
 	void startNode(String vm) {
 		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
 				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.metricsPort),
-				address(vm, this.serverPort), this.store.address(), STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM,
+				address(vm, this.serverPort), this.store.address(), 0, STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM,
 				RETRY_WINDOW_MILLIS, LogDetail.DEFAULT, ProxySettings.DEFAULT_LOG_LINES_PER_SECOND);
 		this.nodes.put(vm, this.closer.register(PlatformNode.start(settings)));
 	}
@@ -197,6 +197,32 @@
 		}
 	}
 
+	/**
+	 * Returns which nodes read the store.
+	 * @param vms names of the nodes' VMs, separated by spaces
+	 * @return names of those that read it
+	 */
+	List<String> sourceReaders(String vms) throws IOException {
+		List<String> readers = new ArrayList<>();
+		for (String vm : vms.split(" ")) {
+			if (observed(vm, "/metrics").contains("eelgrasspitch_proxy_source_reading 1.0")) {
+				readers.add(vm);
+			}
+		}
+		return readers;
+	}
+
+	/**
+	 * Closes the first of some nodes that reads the store.
+	 * @param vms names of the nodes' VMs, separated by spaces
+	 * @return name of another of the VMs
+	 */
+	String closeSourceReader(String vms) throws IOException {
+		String reader = sourceReaders(vms).getFirst();
+		this.nodes.get(reader).close();
+		return Stream.of(vms.split(" ")).filter((vm) -> !vm.equals(reader)).findFirst().orElseThrow();
+	}
+
 	@Override
 	public void close() {
 		this.closer.close();
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -167,6 +167,16 @@
     Then within 2 s a requester at pay-a gets status 200 for GET /more1999/ok
     And for 1 s a requester at pay-a gets status 200 for GET /more0/ok
 
+  Scenario: One node of a failure domain reads the store for all, and another one takes over
+    When 1500 ms pass
+    Then one of the nodes at desk-a pay-a reads the store
+    When the operators add the route /new/ to desk
+    Then within 1 s a requester at pay-a gets status 200 for GET /new/ok
+    And within 1 s a requester at desk-a gets status 200 for GET /new/ok
+    When the node at desk-a pay-a that reads the store dies
+    And the operators remove the further route
+    Then within 2 s a requester at its failure domain gets status 404 for GET /new/ok
+
   Scenario: The store forgets its history
     When the store forgets
     And the operators add the route /new/ to desk
@@ -188,8 +198,6 @@
     Then desk-a is ready within 3 s
     And within 1 s a requester at desk-a gets status 200 for GET /desk/ok
 
-  # Listed in KNOWN-RED.txt.
-  @known-red
   Scenario: A request whose only server is out of reach is refused at once
     When the node at pay-a dies
     And 2500 ms pass
--- a/wire/src/main/java/org/eelgrasspitch/wire/PartCompressor.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/PartCompressor.java
@@ -1,13 +1,11 @@
 package org.eelgrasspitch.wire;
 
-import java.io.ByteArrayOutputStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
 
 import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.misc.Zlib;
 import org.eelgrasspitch.text.Part;
 
 /**
@@ -20,8 +18,6 @@
 	/** Limit of the total length of the cached contents. */
 	private static final int MAX_CACHED_BYTES = 2 * 1024 * 1024;
 
-	private static final int BUFFER_BYTES = 8_192;
-
 	/** Compressed contents by digest, least recently used first. */
 	private final Map<Digest, byte[]> cache = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -33,7 +29,7 @@
 		if (cached != null) {
 			return cached;
 		}
-		byte[] compressed = deflate(part.content());
+		byte[] compressed = Zlib.compress(part.content());
 		this.cache.put(part.digest(), compressed);
 		this.cachedBytes += compressed.length;
 		while (this.cachedBytes > MAX_CACHED_BYTES) {
@@ -47,39 +43,11 @@
 		if (length < 0 || length > WireLimits.MAX_PART_BYTES) {
 			throw new MalformedFrameException("invalid part length of " + length + " bytes");
 		}
-		byte[] content = new byte[length];
-		Inflater inflater = new Inflater();
 		try {
-			inflater.setInput(compressed);
-			int decompressedLength = inflater.inflate(content);
-			if (decompressedLength != length || (length > 0 && inflater.inflate(new byte[1]) != 0)
-					|| !inflater.finished()) {
-				throw new MalformedFrameException("decompressed length of a part differs from its declared length");
-			}
-			return content;
+			return Zlib.decompress(compressed, length);
 		}
 		catch (DataFormatException ex) {
-			throw new MalformedFrameException("part cannot be decompressed");
-		}
-		finally {
-			inflater.end();
-		}
-	}
-
-	private static byte[] deflate(byte[] content) {
-		Deflater deflater = new Deflater();
-		try {
-			deflater.setInput(content);
-			deflater.finish();
-			ByteArrayOutputStream output = new ByteArrayOutputStream();
-			byte[] buffer = new byte[BUFFER_BYTES];
-			while (!deflater.finished()) {
-				output.write(buffer, 0, deflater.deflate(buffer));
-			}
-			return output.toByteArray();
-		}
-		finally {
-			deflater.end();
+			throw new MalformedFrameException("part cannot be decompressed: " + ex.getMessage());
 		}
 	}
 
