Limit retried runs by the retry budget of the services that they call

Change: core.mesh.NestedCallRates observes the calls of a run by service; the home refuses a retried call, before the target receives it, while its part of the budget of a called service does not cover them (reason retry_budget). Idle connections to the target move from HomeService to IdleConnections. Test: nestedCallsOfRetriedRequestsKeepToTheBudgetOfTheCalledService fails without the limit.

--- a/core/src/main/java/org/eelgrasspitch/mesh/FleetRetryBudget.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/FleetRetryBudget.java
@@ -13,7 +13,8 @@
  * node uses the share of its own requests plus the fixed number divided by the number of
  * nodes that it knows. It uses only {@link #SAFETY_FACTOR} of the sum, because nodes may
  * disagree about their number. Calls that a target makes while it runs a retried request
- * count as retries as well; the node on that target's VM counts them.
+ * count as retries as well; the node on that target's VM counts them and limits the
+ * retried requests that run there, see {@link NestedCallRates}.
  * <p>
  * Without the limit, when every target of a service fails and callers also retry, each
  * layer multiplies the load of the layer above it.
@@ -83,6 +84,19 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the budget has room for calls that would count as retries.
+	 * @param service name of the service that is called
+	 * @param nodes number of nodes that share the budget
+	 * @param calls expected number of calls, 0 or more
+	 * @param now current monotonic time in milliseconds
+	 * @return true if the calls would not exceed the budget
+	 */
+	public boolean covers(String service, int nodes, double calls, long now) {
+		Window window = window(service, now);
+		return window.retryWeight + calls <= allowedRetries(window, nodes);
+	}
+
 	/**
 	 * Returns the number of retries that are available.
 	 * @param service name of the service
--- a/core/src/test/java/org/eelgrasspitch/mesh/FleetRetryBudgetTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/FleetRetryBudgetTests.java
@@ -21,6 +21,9 @@
 
 	private static final long WINDOW_MILLIS = 10_000;
 
+	/** Requests that run at a target of service "front" for each one to "back". */
+	private static final int FRONT_RUNS = 4;
+
 	@Test
 	public void theFleetStaysWithinItsBudgetInEveryWindow() {
 		List<FleetRetryBudget> budgets = new ArrayList<>();
@@ -79,6 +82,58 @@
 		Assert.assertTrue(budget.tryAcquire("s", 1, Purpose.FAILED, 0));
 	}
 
+	@Test
+	public void nestedCallsOfRetriedRequestsKeepToTheBudgetOfTheCalledService() {
+		Assert.assertTrue(exceedsBudgetOfCalledService(false), "the load exceeds the budget without the limit");
+		Assert.assertFalse(exceedsBudgetOfCalledService(true));
+	}
+
+	/**
+	 * Every target of service "front" calls service "back" once in each run. The targets
+	 * of both services shed requests, so that each node retries as much as its budget
+	 * allows. One third of the nodes are homes of "front", and 45 of 100 runs there are
+	 * retried ones.
+	 */
+	private static boolean exceedsBudgetOfCalledService(boolean limited) {
+		List<FleetRetryBudget> budgets = new ArrayList<>();
+		List<NestedCallRates> rates = new ArrayList<>();
+		for (int i = 0; i < NODES; i++) {
+			budgets.add(new FleetRetryBudget(RATIO, MINIMUM, WINDOW_MILLIS));
+			rates.add(new NestedCallRates());
+		}
+		List<Long> requests = new ArrayList<>();
+		List<Long> repeats = new ArrayList<>();
+		for (long now = 0; now < 30_000; now += 10) {
+			int node = (int) (now / 10 % NODES);
+			FleetRetryBudget budget = budgets.get(node);
+			budget.recordRequest("back", now);
+			requests.add(now);
+			if (budget.tryAcquire("back", NODES, Purpose.FAILED, now)) {
+				repeats.add(now);
+			}
+			for (int run = 0; node % 3 == 0 && run < FRONT_RUNS; run++) {
+				boolean retried = (now / 10 + run) % 100 < 45;
+				if (retried && limited && !rates.get(node).permitRetriedRun(budget, NODES, now)) {
+					continue;
+				}
+				rates.get(node).recordRun();
+				rates.get(node).recordCall("back");
+				budget.recordRequest("back", now);
+				requests.add(now);
+				if (retried) {
+					budget.recordProbableRetry("back", 1, now);
+					repeats.add(now);
+				}
+			}
+		}
+		for (long end = 0; end < 30_000; end += 500) {
+			if (countInWindow(repeats, end) > Math.round(RATIO * countInWindow(requests, end)) + MINIMUM) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static long countInWindow(List<Long> times, long end) {
 		return times.stream().filter((time) -> time > end - WINDOW_MILLIS && time <= end).count();
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Attempts.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempts.java
@@ -124,7 +124,8 @@
 	 */
 	boolean failed(Attempt ended, CallFailure failure) {
 		this.lastReason = failure.reason();
-		this.overloadedHomes += (failure.reason() == FailureReason.OVERLOADED) ? 1 : 0;
+		this.overloadedHomes += (failure.reason() == FailureReason.OVERLOADED
+				|| failure.reason() == FailureReason.RETRY_BUDGET) ? 1 : 0;
 		this.mayHaveRun |= failure.mayHaveRun();
 		this.reachedTargetCount += failure.reachedTarget() ? 1 : 0;
 		if (failure.retryAfterMillis() > 0) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -86,6 +86,8 @@
 		this.retryBudget = new FleetRetryBudget(context.settings().retryRatio(), context.settings().retryMinimum(),
 				context.settings().retryWindowMillis());
 		this.draw = context.random().nextDouble();
+		home.setRetryPermission(() -> home.nestedCallRates()
+			.permitRetriedRun(this.retryBudget, links.estimateNodeCount(), context.now()));
 	}
 
 	/**
@@ -300,6 +302,9 @@
 	 */
 	void recordFirstSend(String service, String requestId) {
 		this.retryBudget.recordRequest(service, this.context.now());
+		if (isNestedCall(requestId)) {
+			this.home.nestedCallRates().recordCall(service);
+		}
 		if (RequestIds.parent(requestId).filter(this.home::isRunningRetry).isPresent()) {
 			this.retryBudget.recordProbableRetry(service, 1, this.context.now());
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
@@ -37,8 +37,7 @@
 	TARGET_GARBLED,
 
 	/**
-	 * No link to the home is open, or nothing was received on it for longer than
-	 * {@link LinkManager#SUSPECT_LINK_MILLIS}.
+	 * No link to the home is open, or it is silent; see {@link Link#isUsable()}.
 	 */
 	LINK_DOWN,
 
@@ -46,7 +45,13 @@
 	LINK_LOST,
 
 	/** The target had not responded long after the deadline of the call. */
-	TARGET_SILENT;
+	TARGET_SILENT,
+
+	/**
+	 * The calls that the target would make while it runs this retried request are not
+	 * covered by the retry budget.
+	 */
+	RETRY_BUDGET;
 
 	private final String loggedName = EnumNames.lowerCase(this);
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -1,18 +1,17 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
+import org.eelgrasspitch.mesh.NestedCallRates;
 import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.TargetDirectory;
 import org.eelgrasspitch.mesh.TargetEntry;
@@ -52,15 +51,6 @@
 	/** Retry time given to callers of a target that is down, leaving or replaced. */
 	private static final int UNAVAILABLE_RETRY_AFTER_MILLIS = 500;
 
-	/**
-	 * Maximum idle time of a connection that is used for a non-idempotent request. It is
-	 * far below any idle timeout, so the target is not about to close the connection.
-	 */
-	private static final long MAX_NON_IDEMPOTENT_IDLE_MILLIS = 1_000;
-
-	/** Maximum number of idle connections kept to the target. */
-	private static final int MAX_IDLE_CONNECTIONS = 32;
-
 	/**
 	 * Time for which a call may run past its deadline. Targets end their work at the
 	 * deadline, so one that has not responded by then never will.
@@ -86,8 +76,7 @@
 
 	private final ServiceTimes serviceTimes = new ServiceTimes();
 
-	/** Idle connections, most recently used first. */
-	private final Deque<TargetConnection> idleConnections = new ArrayDeque<>();
+	private final IdleConnections idleConnections = new IdleConnections();
 
 	/** Directory entry of the target; null until one is published. */
 	private TargetEntry targetEntry;
@@ -118,6 +107,11 @@
 	private Runnable stateListener = () -> {
 	};
 
+	private final NestedCallRates nestedCallRates = new NestedCallRates();
+
+	/** Returns whether one more retried call may run at the target. */
+	private BooleanSupplier retryPermission = () -> true;
+
 	HomeService(ProxyContext context) {
 		this.context = context;
 		this.bootstrap = Bootstraps.client(context.loop());
@@ -131,6 +125,14 @@
 		this.stateListener = listener;
 	}
 
+	void setRetryPermission(BooleanSupplier permission) {
+		this.retryPermission = permission;
+	}
+
+	NestedCallRates nestedCallRates() {
+		return this.nestedCallRates;
+	}
+
 	/**
 	 * Applies a new directory. A target missing from it keeps its entry and is drained.
 	 * @param directory the published targets
@@ -148,7 +150,7 @@
 				|| this.targetEntry.startUnixMillis() != own.get().startUnixMillis()) {
 			this.failureShare = 0;
 			this.actualTarget = "";
-			closeIdle();
+			this.idleConnections.closeAll();
 		}
 		this.targetEntry = own.get();
 		this.slots = this.targetEntry.slots();
@@ -221,6 +223,10 @@
 			refuse(call, FailureReason.WRONG_TARGET, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			return call;
 		}
+		if (head.retry() && !this.retryPermission.getAsBoolean()) {
+			refuse(call, FailureReason.RETRY_BUDGET, UNAVAILABLE_RETRY_AFTER_MILLIS);
+			return call;
+		}
 		applyDecision(this.queue.offer(new Job<>(call, head.rank(), head.objectiveAtMillis(), head.deadlineAtMillis(),
 				this.serviceTimes.expectedMillis(head.route(), now())), this.slots, now()));
 		this.queue.position(call, this.slots).ifPresent((position) -> call.log().queued(position, load(), now()));
@@ -303,11 +309,7 @@
 	}
 
 	void addIdle(TargetConnection connection) {
-		if (this.idleConnections.size() >= MAX_IDLE_CONNECTIONS) {
-			connection.abort();
-			return;
-		}
-		this.idleConnections.push(connection);
+		this.idleConnections.add(connection);
 	}
 
 	void connectionOpened(TargetConnection connection) {
@@ -407,8 +409,9 @@
 	 */
 	void startPermitted(HomeCall call) {
 		this.running.add(call);
+		this.nestedCallRates.recordRun();
 		this.context.metrics().callStarted(now() - call.receivedAtMillis());
-		TargetConnection connection = takeIdle(call.head().idempotent());
+		TargetConnection connection = this.idleConnections.take(call.head().idempotent(), now());
 		if (connection != null) {
 			connection.send(call);
 			return;
@@ -416,24 +419,6 @@
 		connect(CONNECT_TIMEOUT_MILLIS, (opened) -> connected(call, opened.orElse(null)));
 	}
 
-	private TargetConnection takeIdle(boolean idempotent) {
-		long now = now();
-		Iterator<TargetConnection> connections = this.idleConnections.iterator();
-		while (connections.hasNext()) {
-			TargetConnection connection = connections.next();
-			if (!connection.isUsable(now)) {
-				connections.remove();
-				connection.abort();
-				continue;
-			}
-			if (idempotent || connection.idleMillis(now) <= MAX_NON_IDEMPOTENT_IDLE_MILLIS) {
-				connections.remove();
-				return connection;
-			}
-		}
-		return null;
-	}
-
 	private void connect(int timeoutMillis, Consumer<Optional<TargetConnection>> done) {
 		this.bootstrap.clone()
 			.handler(TargetConnection.initializer(this))
@@ -468,7 +453,7 @@
 		}
 		this.targetDown = true;
 		this.context.log().logNodeEvent(LogEvent.TARGET_DOWN, "address", this.context.settings().targetAddress());
-		closeIdle();
+		this.idleConnections.closeAll();
 		this.stateListener.run();
 		scheduleProbe();
 	}
@@ -488,10 +473,4 @@
 		this.stateListener.run();
 	}
 
-	private void closeIdle() {
-		while (!this.idleConnections.isEmpty()) {
-			this.idleConnections.pop().abort();
-		}
-	}
-
 }
