--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -251,8 +251,9 @@
 	 */
 	private void decodePending() {
 		long startMillis = this.time.monotonicMillis();
-		while (!this.pendingConfigs.isEmpty() && !applyConfig(this.pendingConfigs.pop())) {
-			// The problem of this one is logged; an older one may be valid.
+		boolean valid = false;
+		while (!valid && !this.pendingConfigs.isEmpty()) {
+			valid = applyConfig(this.pendingConfigs.pop());
 		}
 		this.pendingConfigs.clear();
 		long endMillis = this.time.monotonicMillis();
