Send the whole document to peers from before a new listing

Cause: a node that lists the store again, because its history is gone, never learns of items that were written and removed in between. A peer that had received such an item (from another failure domain) kept it for ever: the delta since its revision did not name it. With one reader for each failure domain every follower depends on these deltas, and the item may be a target that has left. Change: after a complete document, a delta is computed only from its revision on; older peers get the complete document. Measured: SourceDocumentTests.peerOfANodeThatListedAgainDropsWhatWasRemovedMeanwhile fails before the change.

--- a/core/src/main/java/org/eelgrasspitch/mesh/SourceDocument.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/SourceDocument.java
@@ -106,7 +106,9 @@
 				held.add(key);
 			}
 		}
-		if (this.revision == 0) {
+		if (delta.from() == 0) {
+			// Items that were added and removed since the held revision are unknown here,
+			// but a peer may hold them.
 			this.oldestDeltaRevision = delta.to();
 		}
 		delta.items().forEach(this::put);
--- a/core/src/test/java/org/eelgrasspitch/mesh/SourceDocumentTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/SourceDocumentTests.java
@@ -50,6 +50,19 @@
 		Assert.assertEquals(document.apply(new SourceDelta(0, 20, List.of(item("b", 6)), List.of())), List.of("a"));
 	}
 
+	@Test
+	public void peerOfANodeThatListedAgainDropsWhatWasRemovedMeanwhile() {
+		SourceDocument listing = new SourceDocument();
+		listing.apply(new SourceDelta(0, 10, List.of(item("a", 5)), List.of()));
+		SourceDocument peer = new SourceDocument();
+		peer.apply(listing.deltaSince(0));
+		peer.apply(new SourceDelta(10, 15, List.of(item("b", 15)), List.of()));
+		// "b" is removed at revision 17; the first node has never known it.
+		listing.apply(new SourceDelta(0, 20, List.of(item("a", 5)), List.of()));
+		Assert.assertEquals(peer.apply(listing.deltaSince(peer.revision())), List.of("b"));
+		Assert.assertEquals(content(peer), content(listing));
+	}
+
 	@Test
 	public void nodesThatExchangeDeltasConvergeToTheSource() {
 		for (int seed = 0; seed < ROUNDS; seed++) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/SourceRole.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/SourceRole.java
@@ -9,7 +9,8 @@
 
 /**
  * Keeps this node's decision whether it reads the source up to date with what its peers
- * report, and passes changes on.
+ * report, and passes changes on. {@link SourceReaders} decides. Used on the event loop
+ * that handles requests; the listener passes the changes to the control thread.
  */
 final class SourceRole {
 
@@ -19,9 +20,7 @@
 
 	private final SourceRoleListener listener;
 
-	/**
-	 * Whether peers of the failure domain are served by the source, as last passed on.
-	 */
+	/** What the peers of the failure domain report, as last passed to the listener. */
 	private Report nearReport = Report.NONE;
 
 	SourceRole(ProxyContext context, SourceRoleListener listener) {
