Decode the pending configuration with the highest version, not the one that arrived last

Cause: found by reading the change again. Of the configurations that wait to be decoded only the last to arrive was decoded and the others were dropped. If a source that was set back delivers r9 while r12 waits, r12 was lost at this node. A content without a readable version is decoded at once, so that its problems are logged and it displaces no other. Measured: RoutingStateKeeperTests.newerVersionIsNotLostWhenAnOlderOneFollowsIt failed before the change (expected 12, found 9).

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentDecoder.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentDecoder.java
@@ -1,6 +1,7 @@
 package org.eelgrasspitch.proxy;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.vavr.control.Either;
 import org.eelgrasspitch.mesh.MeshConfig;
@@ -20,6 +21,13 @@
 	 */
 	Either<List<Problem>, MeshConfig> config(SourceItem item);
 
+	/**
+	 * Reads the version of a configuration without decoding the rest of it.
+	 * @param item the published item
+	 * @return the version; empty if the item has none that can be read
+	 */
+	OptionalLong configVersion(SourceItem item);
+
 	/**
 	 * Decodes a target's entry.
 	 * @param item the published item; its key is the identifier of the target
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -1,10 +1,9 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -12,6 +11,7 @@
 import io.vavr.control.Either;
 import org.apache.thrift.TException;
 import org.eelgrasspitch.mesh.MeshConfig;
+import org.eelgrasspitch.mesh.PendingConfigs;
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.SourceDocument;
 import org.eelgrasspitch.mesh.SourceItem;
@@ -30,8 +30,8 @@
  * <p>
  * A configuration is decoded completely before it replaces the previous one, and only if
  * its version is newer, so a node never reverts to an older configuration and never
- * applies one partially. While it is decoded, newer versions that arrive replace one
- * another, so that a series of versions takes at most about half of the processor time.
+ * applies one partially. Of the versions that arrive before the next one is decoded only
+ * the newest is decoded, and decoding takes at most about half of the processor time.
  * <p>
  * The source counts as unavailable while it answers neither this node, if it reads the
  * source, nor any peer of the failure domain that does.
@@ -41,12 +41,6 @@
 	/** Minimum duration of a source outage in which target entries may expire. */
 	private static final long MIN_OUTAGE_MILLIS = 800;
 
-	/**
-	 * Maximum number of configurations kept until they are decoded. An older one is used
-	 * only if the newer ones are invalid.
-	 */
-	private static final int MAX_PENDING_CONFIGS = 3;
-
 	private final ScheduledExecutorService control;
 
 	private final TimeSource time;
@@ -80,8 +74,7 @@
 	/** What the peers of the failure domain report. */
 	private Report nearReport = Report.NONE;
 
-	/** Configurations not decoded yet, newest first. */
-	private final Deque<SourceItem> pendingConfigs = new ArrayDeque<>();
+	private final PendingConfigs pendingConfigs = new PendingConfigs();
 
 	/** Monotonic time in milliseconds before which no configuration is decoded. */
 	private long nextDecodeAtMillis;
@@ -129,6 +122,9 @@
 
 	@Override
 	public void sourceReturned(long outageMillis) {
+		// The outage of this node and its failure domain is measured here, since peers
+		// may
+		// have been served meanwhile.
 		this.ownReport = Report.SERVED;
 		updateAvailability("");
 		publish();
@@ -235,15 +231,17 @@
 	}
 
 	private void decodeLater(SourceItem item) {
-		boolean scheduled = !this.pendingConfigs.isEmpty();
-		this.pendingConfigs.push(item);
-		if (this.pendingConfigs.size() > MAX_PENDING_CONFIGS) {
-			this.pendingConfigs.removeLast();
+		OptionalLong version = this.decoder.configVersion(item);
+		if (version.isEmpty()) {
+			// Decoded at once, because decoding logs what is wrong with it.
+			applyConfig(item);
+			return;
 		}
-		if (!scheduled) {
+		if (this.pendingConfigs.isEmpty()) {
 			long delayMillis = Math.max(0, this.nextDecodeAtMillis - this.time.monotonicMillis());
 			this.control.schedule(this::decodePending, delayMillis, TimeUnit.MILLISECONDS);
 		}
+		this.pendingConfigs.add(version.getAsLong(), item);
 	}
 
 	/**
@@ -253,7 +251,7 @@
 		long startMillis = this.time.monotonicMillis();
 		boolean valid = false;
 		while (!valid && !this.pendingConfigs.isEmpty()) {
-			valid = applyConfig(this.pendingConfigs.pop());
+			valid = this.pendingConfigs.pollNewest().filter(this::applyConfig).isPresent();
 		}
 		this.pendingConfigs.clear();
 		long endMillis = this.time.monotonicMillis();
--- /dev/null
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
@@ -0,0 +1,146 @@
+package org.eelgrasspitch.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.DefaultEventLoop;
+import io.vavr.control.Either;
+import org.eelgrasspitch.mesh.CallerLimits;
+import org.eelgrasspitch.mesh.MeshConfig;
+import org.eelgrasspitch.mesh.RouteTable;
+import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Position;
+import org.eelgrasspitch.misc.Problem;
+import org.eelgrasspitch.misc.TimeSource;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/**
+ * Configurations that arrive while an earlier one waits to be decoded. The content of an
+ * item is its version, followed by "!" if the rest of it is invalid.
+ */
+public class RoutingStateKeeperTests {
+
+	private static final long TIMEOUT_SECONDS = 10;
+
+	private final DefaultEventLoop control = new DefaultEventLoop();
+
+	private final List<String> decoded = new ArrayList<>();
+
+	private volatile RoutingState state = RoutingState.EMPTY;
+
+	@AfterClass(alwaysRun = true)
+	public void close() {
+		this.control.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void supersededConfigurationIsNotDecoded() throws Exception {
+		receive("5", "6", "7");
+		Assert.assertEquals(this.state.config().version(), 7);
+		Assert.assertEquals(this.decoded, List.of("7"));
+	}
+
+	@Test
+	public void newerVersionIsNotLostWhenAnOlderOneFollowsIt() throws Exception {
+		receive("5", "12", "9");
+		Assert.assertEquals(this.state.config().version(), 12);
+	}
+
+	@Test
+	public void validConfigurationIsUsedWhenTheNewestIsInvalid() throws Exception {
+		receive("5", "6", "7!");
+		Assert.assertEquals(this.state.config().version(), 6);
+	}
+
+	@Test
+	public void contentWithoutAVersionHarmsNoOther() throws Exception {
+		receive("5", "not a version");
+		Assert.assertEquals(this.state.config().version(), 5);
+	}
+
+	/**
+	 * Reads configurations in one task of the control thread, so that all of them wait
+	 * when the first is to be decoded.
+	 */
+	private void receive(String... contents) throws Exception {
+		this.decoded.clear();
+		RoutingStateKeeper keeper = new RoutingStateKeeper(this.control, TimeSource.system(), new VersionDecoder(),
+				new DecisionLog("vm-1", TimeSource.system(), LogDetail.OFF, 1), (published) -> this.state = published,
+				new IdleSource());
+		this.control.submit(() -> {
+			long revision = 0;
+			for (String content : contents) {
+				SourceItem item = new SourceItem("op", content.getBytes(StandardCharsets.UTF_8), revision + 1);
+				keeper.documentRead(SourceChannel.CONFIG,
+						new SourceDelta(revision, revision + 1, List.of(item), List.of()));
+				revision++;
+			}
+		}).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		// Runs after the decoding, which was scheduled before it.
+		this.control.schedule(() -> {
+		}, 1, TimeUnit.MILLISECONDS).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static final class IdleSource implements Source {
+
+		@Override
+		public void start(SourceListener listener) {
+			// The test calls the listener.
+		}
+
+		@Override
+		public void refresh() {
+			// There is nothing to read.
+		}
+
+		@Override
+		public void pause() {
+			// It never reads.
+		}
+
+		@Override
+		public void resume(long revision) {
+			// It never reads.
+		}
+
+	}
+
+	private final class VersionDecoder implements DocumentDecoder {
+
+		@Override
+		public OptionalLong configVersion(SourceItem item) {
+			String text = text(item).replace("!", "");
+			return text.matches("[0-9]+") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+		}
+
+		@Override
+		public Either<List<Problem>, MeshConfig> config(SourceItem item) {
+			RoutingStateKeeperTests.this.decoded.add(text(item));
+			if (!text(item).matches("[0-9]+")) {
+				return Either.left(List.of(Problem.of(ErrorType.WRONG_TYPE, Position.UNKNOWN, "version", "a number")));
+			}
+			return Either.right(new MeshConfig(configVersion(item).getAsLong(), CallerLimits.DEFAULT,
+					new RouteTable(List.of()), Map.of()));
+		}
+
+		@Override
+		public Either<List<Problem>, TargetEntry> target(SourceItem item) {
+			throw new UnsupportedOperationException("no targets in this test");
+		}
+
+		private static String text(SourceItem item) {
+			return new String(item.value(), StandardCharsets.UTF_8);
+		}
+
+	}
+
+}
