Move the decision when to pull a document to core and test it under the load that it answers

Cause: reading the change again. The repeated pulls that kept links full were the main cause of the collapse of the fleets of 76 to 95 VMs, but their limit stood among input and output and had no test. Change: core.mesh.PullSchedule; DocumentReplicator only sends. Measured: without the check for a pull in progress PullScheduleTests counts 9 pulls in 2.9 s instead of at most 2.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
@@ -1,9 +1,12 @@
 package org.eelgrasspitch.proxy;
 
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import org.eelgrasspitch.mesh.PullSchedule;
 import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.proxy.generated.LinkDocument;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
@@ -19,27 +22,11 @@
  * changes since its own at once, so that documents that follow each other quickly do not
  * queue up on a thin link.
  * <p>
- * A node that sees a newer revision in a heartbeat and receives no change pulls it, first
- * from peers in its failure domain, because documents are large and traffic between
- * failure domains is charged for. There is at most one pull of a document in progress;
- * otherwise a node whose link is busy with a document would request it again and again,
- * and keep its own and its peers' links busy.
+ * A node that sees a newer revision in a heartbeat pulls the changes when
+ * {@link PullSchedule} says so.
  */
 final class DocumentReplicator {
 
-	/**
-	 * Time for which a peer in the same failure domain may hold a newer revision before
-	 * its documents are pulled, so that a node that reads the source or receives a push
-	 * pulls from no peer.
-	 */
-	private static final long NEAR_PULL_DELAY_MILLIS = 400;
-
-	/** Same as {@link #NEAR_PULL_DELAY_MILLIS} for a peer in another failure domain. */
-	private static final long FAR_PULL_DELAY_MILLIS = 800;
-
-	/** Time after which a pull that was not answered is given up. */
-	private static final long PULL_TIMEOUT_MILLIS = 1_500;
-
 	/** Size of an encoded document from which it is compressed. */
 	private static final int MIN_PACKED_BYTES = 400;
 
@@ -49,25 +36,14 @@
 
 	private RoutingState state = RoutingState.EMPTY;
 
-	/**
-	 * Monotonic time in milliseconds at which a pull from a peer in the same failure
-	 * domain was scheduled because the peer held a newer revision, by channel ordinal; 0
-	 * if none is scheduled.
-	 */
-	private final long[] nearPullScheduledAtMillis = new long[SourceChannel.values().length];
-
-	/** Same as {@link #nearPullScheduledAtMillis} for peers in other failure domains. */
-	private final long[] farPullScheduledAtMillis = new long[SourceChannel.values().length];
-
-	/**
-	 * Monotonic time in milliseconds at which the last pull was sent, by channel ordinal;
-	 * 0 if there was none or it was answered.
-	 */
-	private final long[] pullSentAtMillis = new long[SourceChannel.values().length];
+	private final Map<SourceChannel, PullSchedule> pulls = new EnumMap<>(SourceChannel.class);
 
 	DocumentReplicator(ProxyContext context, DocumentExchange documents) {
 		this.context = context;
 		this.documents = documents;
+		for (SourceChannel channel : SourceChannel.values()) {
+			this.pulls.put(channel, new PullSchedule());
+		}
 	}
 
 	/**
@@ -82,7 +58,7 @@
 		for (SourceChannel channel : SourceChannel.values()) {
 			int index = channel.ordinal();
 			if (newState.lastDeltaAtMillis(channel) > previous.lastDeltaAtMillis(channel)) {
-				this.pullSentAtMillis[index] = 0;
+				this.pulls.get(channel).deltaReceived();
 			}
 			if (newState.sourceReport() == Report.SERVED
 					&& newState.lastChangeRevisions()[index] > previous.lastChangeRevisions()[index]) {
@@ -105,13 +81,10 @@
 					|| lastChangeRevisions.get(index) <= this.state.revisions()[index]) {
 				continue;
 			}
-			long[] scheduledAtMillis = link.isNear() ? this.nearPullScheduledAtMillis : this.farPullScheduledAtMillis;
-			if (scheduledAtMillis[index] == 0) {
-				scheduledAtMillis[index] = this.context.now();
-				this.context.loop()
-					.schedule(() -> pull(link, channel, scheduledAtMillis),
-							link.isNear() ? NEAR_PULL_DELAY_MILLIS : FAR_PULL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-			}
+			this.pulls.get(channel)
+				.schedule(link.isNear(), this.context.now())
+				.ifPresent((delayMillis) -> this.context.loop()
+					.schedule(() -> pull(link, channel), delayMillis, TimeUnit.MILLISECONDS));
 		}
 	}
 
@@ -164,22 +137,13 @@
 		return EncodedMessage.of(LinkMessage.packed(LinkFrames.pack(content)));
 	}
 
-	private void pull(Link link, SourceChannel channel, long[] scheduledAtMillis) {
-		int index = channel.ordinal();
-		long since = scheduledAtMillis[index];
-		scheduledAtMillis[index] = 0;
-		long now = this.context.now();
-		boolean pullInProgress = this.pullSentAtMillis[index] != 0
-				&& now - this.pullSentAtMillis[index] < PULL_TIMEOUT_MILLIS;
-		if (!link.isOpen() || pullInProgress || this.state.lastDeltaAtMillis(channel) >= since) {
-			// The link is closed, or the document is being sent already, or the source or
-			// another peer has delivered a delta meanwhile, possibly an empty one. If a
-			// peer is still ahead, its next heartbeat shows it.
-			return;
+	private void pull(Link link, SourceChannel channel) {
+		boolean sent = this.pulls.get(channel)
+			.start(link.isNear(), link.isOpen(), this.state.lastDeltaAtMillis(channel), this.context.now());
+		if (sent) {
+			int index = channel.ordinal();
+			link.send(LinkMessage.pull(new LinkPull((byte) index, this.state.revisions()[index]).setPacked(true)));
 		}
-		this.pullSentAtMillis[index] = now;
-		link.send(EncodedMessage
-			.of(LinkMessage.pull(new LinkPull((byte) index, this.state.revisions()[index]).setPacked(true))));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -34,7 +34,7 @@
  * failure domain and on a link that carries calls, otherwise every
  * {@link #IDLE_HEARTBEAT_INTERVAL_MILLIS}, because traffic between failure domains is
  * charged for. A link on which nothing has been received for the interval and
- * {@link #SILENCE_MILLIS} more is closed; this detects crashed peers and half-open
+ * {@link #LOST_DELAY_MILLIS} more is closed; this detects crashed peers and half-open
  * connections. When a link is lost, its calls end on both sides. The entry node treats
  * them as calls that may have run, except non-idempotent ones whose start it has not
  * permitted; the home cancels them, which drops those still waiting and aborts running
@@ -49,7 +49,7 @@
 	static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 1_500;
 
 	/** Time after the last call for which a link counts as in use. */
-	private static final long USE_MILLIS = 2_000;
+	private static final long IN_USE_MILLIS = 2_000;
 
 	/**
 	 * Delay of a heartbeat after which a link is not used for new calls. Covers the tick
@@ -61,7 +61,7 @@
 	 * Delay of a heartbeat after which a link is lost: one more heartbeat plus the
 	 * scheduling delay of a slow machine.
 	 */
-	private static final long SILENCE_MILLIS = 1_100;
+	private static final long LOST_DELAY_MILLIS = 1_100;
 
 	private final LinkManager links;
 
@@ -98,8 +98,10 @@
 
 	private long lastReceivedAtMillis;
 
+	/** Monotonic time at which the connection was opened. */
 	private long openedAtMillis;
 
+	/** Monotonic time of the last heartbeat to the peer; 0 before the first. */
 	private long lastHeartbeatSentAtMillis;
 
 	/** Time of the last call opened on this link in either direction. */
@@ -186,7 +188,7 @@
 	 * @return true if it must be closed
 	 */
 	boolean isLost() {
-		return silentMillis() > heartbeatIntervalMillis() + SILENCE_MILLIS;
+		return silentMillis() > heartbeatIntervalMillis() + LOST_DELAY_MILLIS;
 	}
 
 	boolean isHeartbeatDue() {
@@ -204,7 +206,7 @@
 	 */
 	boolean isIdle() {
 		return this.outgoingCalls.isEmpty() && this.incomingCalls.isEmpty()
-				&& now() - this.lastCallAtMillis > USE_MILLIS;
+				&& now() - this.lastCallAtMillis > IN_USE_MILLIS;
 	}
 
 	long lastCallAtMillis() {
