--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -94,6 +94,26 @@
 		return deathRecord != null && deathRecord.targets().size() >= this.deathThreshold;
 	}
 
+	/**
+	 * Returns how many targets died while they ran a request.
+	 * @param fingerprint the request's fingerprint
+	 * @return the number of distinct targets; 0 if none is known
+	 */
+	public int deathCount(Digest fingerprint) {
+		DeathRecord deathRecord = this.deathRecords.get(fingerprint);
+		return (deathRecord != null) ? deathRecord.targets().size() : 0;
+	}
+
+	/**
+	 * Returns the number of requests under which at least one target died.
+	 * @param now current monotonic time in milliseconds
+	 * @return the number, quarantined requests included
+	 */
+	public int suspectCount(long now) {
+		dropOld(now);
+		return this.deathRecords.size();
+	}
+
 	/**
 	 * Returns the number of quarantined requests.
 	 * @param now current monotonic time in milliseconds
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -351,7 +351,26 @@
 				&& this.links.quarantine().isQuarantined(fingerprint(request, body), now);
 	}
 
-	private Digest fingerprint(CallerRequest request, RequestBody body) {
+	/**
+	 * Returns how a request is named in the log after a target that ran it may have
+	 * crashed.
+	 * @param request the request
+	 * @param body its body
+	 * @param reason why the attempt failed; null if none has
+	 * @return its fingerprint; empty for another reason and for a streamed body
+	 */
+	String suspectName(CallerRequest request, RequestBody body, FailureReason reason) {
+		boolean mayHaveCrashed = reason == FailureReason.TARGET_BROKE_OFF || reason == FailureReason.TARGET_CRASHED;
+		return (mayHaveCrashed && !body.isStreamed()) ? fingerprint(request, body).hex() : "";
+	}
+
+	/**
+	 * Returns the value by which a request is recognised at every node.
+	 * @param request the request
+	 * @param body its body, which must not be streamed
+	 * @return the fingerprint
+	 */
+	Digest fingerprint(CallerRequest request, RequestBody body) {
 		return request.fingerprint(this.context.settings().service(), body);
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -242,9 +242,8 @@
 	}
 
 	/**
-	 * Returns whether the current attempt may be hedged: the request is idempotent, its
-	 * whole body is kept, no ended attempt reached a target and the route allows a second
-	 * attempt.
+	 * Returns whether the current attempt may be hedged: the request may be sent again,
+	 * the route allows a second attempt and no ended attempt reached a target.
 	 */
 	private boolean mayHedge() {
 		return route().idempotent() && !this.body.isStreamed() && this.attempts.reachedTargetCount() == 0
@@ -292,7 +291,8 @@
 		if (tryAcquireRetry(failure, this.attempts.reachedTargetCount())) {
 			this.entry.context().metrics().retried(failure.reason());
 			this.log.retried(route(), failed.target(), failure, this.attempts.reachedTargetCount(),
-					this.entry.availableRetries(this.admission.service()));
+					this.entry.availableRetries(this.admission.service()),
+					this.entry.suspectName(this.request, this.body, failure.reason()));
 			chooseTarget();
 			return;
 		}
@@ -362,7 +362,8 @@
 	private void fail(HttpResponseStatus status) {
 		this.outcome = Outcome.FAILED;
 		this.log.failed(routeName(), status, this.attempts.lastReason(), this.attempts.reachedTargetCount(),
-				ageMillis(), this.responseStarted);
+				ageMillis(), this.responseStarted,
+				this.entry.suspectName(this.request, this.body, this.attempts.lastReason()));
 		if (this.responseStarted) {
 			end();
 			this.connection.abort();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -296,8 +296,13 @@
 	}
 
 	private boolean recordCrash(Digest fingerprint, String target) {
-		this.context.log().logNodeEvent(LogEvent.TARGET_DIED, "target", target, "fingerprint", fingerprint);
-		return this.quarantine.recordDeath(fingerprint, target, this.context.now());
+		boolean added = this.quarantine.recordDeath(fingerprint, target, this.context.now());
+		if (added) {
+			this.context.log()
+				.logNodeEvent(LogEvent.TARGET_DIED, "target", target, "fingerprint", fingerprint.hex(), "crashes",
+						this.quarantine.deathCount(fingerprint));
+		}
+		return added;
 	}
 
 	private void sendCrashNotice(Digest fingerprint, String target, Predicate<Link> receives) {
@@ -313,6 +318,14 @@
 		return this.replicator;
 	}
 
+	int crashSuspectCount() {
+		return this.quarantine.suspectCount(this.context.now());
+	}
+
+	int quarantinedCount() {
+		return this.quarantine.count(this.context.now());
+	}
+
 	Quarantine quarantine() {
 		return this.quarantine;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -248,6 +248,10 @@
 		metrics.registerGauge("active_requests", "Requests of callers in progress", this.entry::activeRequests);
 		metrics.registerGauge("running_calls", "Calls that run at the target", () -> this.home.load().running());
 		metrics.registerGauge("waiting_calls", "Calls that wait at this home", () -> this.home.load().waiting());
+		metrics.registerGauge("crash_suspects", "Requests under which at least one target crashed",
+				this.links::crashSuspectCount);
+		metrics.registerGauge("quarantined_requests", "Requests that are refused because they crash targets",
+				this.links::quarantinedCount);
 		metrics.registerGauge("target_failure_share", "Smoothed share of calls that the target failed",
 				() -> this.home.load().failurePercent() / 100.0);
 		metrics.registerGauge("config_age_seconds", "Time since the configuration in force was learned",
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -46,11 +46,21 @@
 				new Candidates(choice.candidates()));
 	}
 
-	void retried(MeshRoute route, TargetEntry target, CallFailure failure, int reachedTargetCount,
-			int availableRetries) {
+	/**
+	 * Logs that a request is sent to another target.
+	 * @param route its route
+	 * @param target the target of the failed attempt
+	 * @param failure why the attempt failed
+	 * @param reachedTargetCount number of targets that received the request
+	 * @param availableRetries retries left in the budget
+	 * @param fingerprint the request's fingerprint; empty if the target cannot have
+	 * crashed or the request has none
+	 */
+	void retried(MeshRoute route, TargetEntry target, CallFailure failure, int reachedTargetCount, int availableRetries,
+			String fingerprint) {
 		this.trace.logAlways(LogEvent.REQUEST_RETRIED, "route", route.name(), "target", target.id(), "reason",
 				failure.reason().loggedName(), "may_have_run", failure.mayHaveRun(), "reached", reachedTargetCount,
-				"repeats_left", availableRetries);
+				"repeats_left", availableRetries, "fingerprint", fingerprint);
 	}
 
 	void hedged(MeshRoute route, Attempt slow, Attempt hedge, int availableRetries) {
@@ -80,11 +90,22 @@
 				request.host(), "path", request.uri().split("\\?", 2)[0]);
 	}
 
+	/**
+	 * Logs that a request failed and may have run.
+	 * @param route name of its route; empty if it was not admitted
+	 * @param status status sent to the caller
+	 * @param reason why the latest attempt failed; null if none has
+	 * @param reachedTargetCount number of targets that received the request
+	 * @param afterMillis time since the request arrived, in milliseconds
+	 * @param truncated whether part of a response was sent already
+	 * @param fingerprint the request's fingerprint; empty if the target cannot have
+	 * crashed or the request has none
+	 */
 	void failed(String route, HttpResponseStatus status, FailureReason reason, int reachedTargetCount, long afterMillis,
-			boolean truncated) {
+			boolean truncated, String fingerprint) {
 		this.trace.logAlways(LogEvent.REQUEST_FAILED, "route", route, "status", status.code(), "reason",
 				(reason != null) ? reason.loggedName() : "timeout", "reached", reachedTargetCount, "after_ms",
-				afterMillis, "cut", truncated);
+				afterMillis, "cut", truncated, "fingerprint", fingerprint);
 	}
 
 	void done(MeshRoute route, Attempt attempt, boolean late, long afterMillis, long attemptMillis,
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
@@ -167,7 +167,7 @@
 		call.cancelled("waiting", 4);
 		RequestLog request = new RequestLog(log, "q1");
 		request.unavailable(null, "overloaded", 1, 2, 3);
-		request.failed("route", HttpResponseStatus.BAD_GATEWAY, FailureReason.LINK_LOST, 1, 2, false);
+		request.failed("route", HttpResponseStatus.BAD_GATEWAY, FailureReason.LINK_LOST, 1, 2, false, "");
 		request.refused(
 				new CallerRequest("q1", "GET", "/x?token=secret", "a.example", List.of("Cookie", "secret"),
 						CallHead.NO_BODY, Optional.empty(), true, Optional.empty()),
