--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -46,7 +47,7 @@
 
 	private int cutOff;
 
-	private int deadlyStarts;
+	private final CrashingCaller crashing = new CrashingCaller();
 
 	/** A VM beside the one whose node died. */
 	private String survivor;
@@ -376,18 +377,17 @@
 
 	@When("a requester at {word} sends GET {word} {int} times while crashed servers come back")
 	public void deadly(String vm, String path, int times) throws IOException {
-		int before = this.world.startsOf(path);
-		for (int i = 0; i < times; i++) {
-			statusOf(vm, path);
-			this.world.revive();
-			Cluster.sleep(700);
-		}
-		this.deadlyStarts = this.world.startsOf(path) - before;
+		this.crashing.send(this.world, vm, path, times, List.of());
+	}
+
+	@When("a requester at {word} sends GET {word} {int} times, each beside {int} of GET {word}, while crashed servers come back")
+	public void deadly(String vm, String path, int times, int others, String otherPath) throws IOException {
+		this.crashing.send(this.world, vm, path, times, Collections.nCopies(others, otherPath));
 	}
 
 	@Then("no further server crashed")
 	public void noneCrashed() {
-		Assert.assertEquals(this.deadlyStarts, 0);
+		Assert.assertEquals(this.crashing.reachedServers(), 0);
 	}
 
 	@Then("none of its requests was cut off")
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -240,6 +240,13 @@
 				if (behaviour.equals("stall-" + this.id)) {
 					TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
 				}
+				if (behaviour.startsWith("crash")) {
+					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("crash".length())));
+					// Its own connection breaks before the others.
+					accepted.close();
+					close();
+					return false;
+				}
 				if (behaviour.startsWith("wait")) {
 					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("wait".length())));
 				}
