--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -76,8 +76,8 @@
 	/**
 	 * Records that a target died while a request was in flight.
 	 * @param fingerprint the request's fingerprint
-	 * @param target identifier of the target: the name of its VM in the node daemon, the
-	 * target's own identifier in the streaming proxy
+	 * @param target identifies the target that died: the name of its VM in the node
+	 * daemon; in the streaming proxy also the death, since a target may start again
 	 * @param diedAt monotonic time of the death in milliseconds; not in the future
 	 * @return false if this death was known already, or is not later than the last
 	 * survival
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -312,10 +312,12 @@
 	 * Handles the end of calls under which the target crashed. Peers are notified first,
 	 * so that entry nodes know of the crash when they decide on retries.
 	 * @param calls the calls; those that have ended meanwhile are only reported
+	 * @param crashNumber distinguishes this crash from others of the target
 	 */
-	void targetCrashed(List<Suspect> calls) {
+	void targetCrashed(List<Suspect> calls, long crashNumber) {
 		List<Digest> fingerprints = calls.stream().flatMap((suspect) -> suspect.fingerprint().stream()).toList();
-		this.quarantine.targetCrashed(fingerprints, calls.getFirst().call().head().target());
+		this.quarantine.targetCrashed(fingerprints,
+				new TargetCrash(calls.getFirst().call().head().target(), crashNumber));
 		calls.forEach((suspect) -> failUnlessEnded(suspect.call(), FailureReason.TARGET_CRASHED));
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
@@ -23,8 +23,8 @@
 final class QuarantineKeeper {
 
 	/**
-	 * Number of distinct targets whose crash quarantines a request that no target has
-	 * answered since. Three, because a request that is resent after a crash meets those
+	 * Number of crashes that quarantine a request that no target has answered since. A
+	 * target that starts again and crashes again counts each time. Three, because a request that is resent after a crash meets those
 	 * that ran beside it again.
 	 */
 	private static final int CRASH_THRESHOLD = 3;
@@ -58,12 +58,12 @@
 	/**
 	 * Records the crash of the target of this VM and notifies all peers.
 	 * @param fingerprints fingerprints of the requests that were running
-	 * @param target identifier of the target
+	 * @param crash the crash
 	 */
-	void targetCrashed(Collection<Digest> fingerprints, String target) {
+	void targetCrashed(Collection<Digest> fingerprints, TargetCrash crash) {
 		for (Digest fingerprint : fingerprints) {
-			recordCrash(fingerprint, target);
-			this.broadcast.send(crashNotice(fingerprint, target), (link) -> true);
+			recordCrash(fingerprint, crash);
+			this.broadcast.send(crashNotice(fingerprint, crash), (link) -> true);
 		}
 	}
 
@@ -90,8 +90,9 @@
 	 */
 	void handleCrashNotice(LinkDeath notice, boolean fromNear) {
 		Digest fingerprint = Digest.fromBytes(notice.getFingerprint(), 0);
-		if (recordCrash(fingerprint, notice.getTarget()) && !fromNear) {
-			this.broadcast.send(crashNotice(fingerprint, notice.getTarget()), Link::isNear);
+		TargetCrash crash = new TargetCrash(notice.getTarget(), notice.getCrash());
+		if (recordCrash(fingerprint, crash) && !fromNear) {
+			this.broadcast.send(crashNotice(fingerprint, crash), Link::isNear);
 		}
 	}
 
@@ -115,11 +116,11 @@
 		return this.quarantine.count(this.context.now());
 	}
 
-	private boolean recordCrash(Digest fingerprint, String target) {
-		boolean added = this.quarantine.recordDeath(fingerprint, target, this.context.now());
+	private boolean recordCrash(Digest fingerprint, TargetCrash crash) {
+		boolean added = this.quarantine.recordDeath(fingerprint, crash.name(), this.context.now());
 		if (added) {
 			this.context.log()
-				.logNodeEvent(LogEvent.TARGET_DIED, "target", target, "fingerprint", fingerprint.hex(), "crashes",
+				.logNodeEvent(LogEvent.TARGET_DIED, "target", crash.target(), "fingerprint", fingerprint.hex(), "crashes",
 						this.quarantine.deathCount(fingerprint));
 		}
 		return added;
@@ -135,8 +136,9 @@
 		return cleared;
 	}
 
-	private static LinkMessage crashNotice(Digest fingerprint, String target) {
-		return LinkMessage.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), target));
+	private static LinkMessage crashNotice(Digest fingerprint, TargetCrash crash) {
+		return LinkMessage
+			.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), crash.target()).setCrash(crash.number()));
 	}
 
 	private static LinkMessage survivalNotice(Digest fingerprint) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -50,6 +50,11 @@
 
 	private boolean down;
 
+	/**
+	 * Monotonic time in milliseconds at which the target was last found down; 0 if never.
+	 */
+	private long downSinceMillis;
+
 	TargetConnector(ProxyContext context, HomeService home) {
 		this.context = context;
 		this.home = home;
@@ -108,7 +113,7 @@
 	void callBroken(HomeCall call) {
 		Suspect suspect = new Suspect(call, call.fingerprint());
 		if (this.down) {
-			this.home.targetCrashed(List.of(suspect));
+			this.home.targetCrashed(List.of(suspect), this.downSinceMillis);
 			return;
 		}
 		perform(this.crashDetector.add(suspect, this.openConnections));
@@ -129,7 +134,7 @@
 
 	private void connectToSuspect() {
 		if (this.down) {
-			this.home.targetCrashed(this.crashDetector.takeSuspects());
+			this.home.targetCrashed(this.crashDetector.takeSuspects(), this.downSinceMillis);
 			return;
 		}
 		connect(CRASH_PROBE_TIMEOUT_MILLIS, (connection) -> {
@@ -139,7 +144,7 @@
 				return;
 			}
 			markDown();
-			this.home.targetCrashed(this.crashDetector.takeSuspects());
+			this.home.targetCrashed(this.crashDetector.takeSuspects(), this.downSinceMillis);
 		});
 	}
 
@@ -158,6 +163,7 @@
 			return;
 		}
 		this.down = true;
+		this.downSinceMillis = this.context.now();
 		this.context.log().logNodeEvent(LogEvent.TARGET_DOWN, "address", this.context.settings().targetAddress());
 		this.idleConnections.closeAll();
 		this.home.stateChanged();
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCrash.java
@@ -0,0 +1,21 @@
+package org.eelgrasspitch.proxy;
+
+/**
+ * One crash of a target.
+ *
+ * @param target identifier of the target, which it keeps when it starts again
+ * @param number distinguishes this crash from others of the same target: the monotonic
+ * time in milliseconds at which its home found it down; 0 if the sender of the report
+ * does not tell
+ */
+record TargetCrash(String target, long number) {
+
+	/**
+	 * Returns a name that no other crash has.
+	 * @return the name; the target's identifier alone if the number is 0
+	 */
+	String name() {
+		return (this.number == 0) ? this.target : this.target + '@' + this.number;
+	}
+
+}
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -163,6 +163,8 @@
 struct LinkDeath {
   1: required binary fingerprint
   2: required string target
+  // Distinguishes this crash from others of the target, which keeps its identifier when it starts again; absent: 0.
+  3: optional i64 crash
 }
 
 // A target has answered a request that was running when another one crashed.
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -301,6 +301,12 @@
     When a requester at desk-a sends GET /desk/wait400
     Then it gets status 200
 
+  # Guards against counting the crashes of a server that starts again under its identifier as one.
+  Scenario: A request that crashes two servers that start again under their identifiers is stopped
+    When a requester at pay-a sends GET /desk/crash 3 times while crashed servers come back
+    And a requester at pay-a sends GET /desk/crash 4 times while crashed servers come back
+    Then no further server crashed
+
   Scenario: A body that is longer than the operators allow
     When a requester at desk-b sends POST /pay/ok in pieces of 50000 bytes, 1500000 in all
     Then it gets status 413
