--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -1,7 +1,9 @@
 package org.eelgrasspitch.request;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.eelgrasspitch.misc.Digest;
@@ -35,8 +37,12 @@
  * target.
  * <p>
  * Not thread-safe; callers must synchronize.
+ *
+ * @param <D> type that identifies a death: the name of the target's VM in the node
+ * daemon; in the streaming proxy it tells deaths of one target apart, since a target may
+ * start again
  */
-public final class Quarantine {
+public final class Quarantine<D> {
 
 	/** Default number of distinct targets whose death quarantines a request. */
 	public static final int DEATH_THRESHOLD = 2;
@@ -56,7 +62,7 @@
 	private final int deathThreshold;
 
 	/** Records by request fingerprint, in order of the last change. */
-	private final Map<Digest, RequestRecord> records = new LinkedHashMap<>();
+	private final Map<Digest, RequestRecord<D>> records = new LinkedHashMap<>();
 
 	/**
 	 * Creates an instance with a threshold of {@link #DEATH_THRESHOLD}.
@@ -74,21 +80,21 @@
 	}
 
 	/**
-	 * Records that a target died while a request was in flight.
+	 * Records that a target died while a request was in flight. A death that happened
+	 * before this was recorded elsewhere may be reported here later.
 	 * @param fingerprint the request's fingerprint
-	 * @param target identifies the target that died: the name of its VM in the node
-	 * daemon; in the streaming proxy also the death, since a target may start again
+	 * @param death identifies the death
 	 * @param diedAt monotonic time of the death in milliseconds; not in the future
 	 * @return false if this death was known already, or is not later than the last
 	 * survival
 	 */
-	public boolean recordDeath(Digest fingerprint, String target, long diedAt) {
+	public boolean recordDeath(Digest fingerprint, D death, long diedAt) {
 		dropOld(diedAt);
-		RequestRecord requestRecord = this.records.getOrDefault(fingerprint, RequestRecord.EMPTY);
-		if (requestRecord.deathTimes().containsKey(target) || diedAt <= requestRecord.survivedAt()) {
+		RequestRecord<D> requestRecord = find(fingerprint);
+		if (requestRecord.deathTimes().containsKey(death) || diedAt <= requestRecord.survivedAt()) {
 			return false;
 		}
-		replace(fingerprint, requestRecord.withDeath(target, diedAt));
+		replace(fingerprint, requestRecord.withDeath(death, diedAt));
 		return true;
 	}
 
@@ -100,8 +106,8 @@
 	 */
 	public boolean recordSurvival(Digest fingerprint, long survivedAt) {
 		dropOld(survivedAt);
-		RequestRecord requestRecord = this.records.getOrDefault(fingerprint, RequestRecord.EMPTY);
-		RequestRecord survived = requestRecord.withSurvival(survivedAt);
+		RequestRecord<D> requestRecord = find(fingerprint);
+		RequestRecord<D> survived = requestRecord.withSurvival(survivedAt);
 		if (survived.deathTimes().size() == requestRecord.deathTimes().size()) {
 			return false;
 		}
@@ -126,7 +132,7 @@
 	 * @return the number of distinct targets; 0 if none is known
 	 */
 	public int deathCount(Digest fingerprint) {
-		return this.records.getOrDefault(fingerprint, RequestRecord.EMPTY).deathTimes().size();
+		return find(fingerprint).deathTimes().size();
 	}
 
 	/**
@@ -147,6 +153,27 @@
 		return countWithDeaths(this.deathThreshold, now);
 	}
 
+	/**
+	 * Returns what is known, for a node that may not know it.
+	 * @param most maximum number of requests; those recorded least recently are left out
+	 * @param now current monotonic time in milliseconds
+	 * @return the deaths and survivals, in no particular order
+	 */
+	public List<Event<D>> recentEvents(int most, long now) {
+		dropOld(now);
+		List<Event<D>> events = new ArrayList<>();
+		this.records.entrySet()
+			.stream()
+			.skip(Math.max(0, this.records.size() - most))
+			.forEach((entry) -> entry.getValue().addEvents(entry.getKey(), events));
+		return events;
+	}
+
+	private RequestRecord<D> find(Digest fingerprint) {
+		RequestRecord<D> found = this.records.get(fingerprint);
+		return (found != null) ? found : new RequestRecord<>(Map.of(), RequestRecord.NEVER);
+	}
+
 	private int countWithDeaths(int least, long now) {
 		dropOld(now);
 		return (int) this.records.values()
@@ -155,7 +182,7 @@
 			.count();
 	}
 
-	private void replace(Digest fingerprint, RequestRecord newest) {
+	private void replace(Digest fingerprint, RequestRecord<D> newest) {
 		this.records.remove(fingerprint);
 		this.records.put(fingerprint, newest);
 	}
@@ -167,30 +194,80 @@
 		}
 	}
 
+	/**
+	 * What happened to a request.
+	 *
+	 * @param <D> type that identifies a death
+	 */
+	public sealed interface Event<D> {
+
+		/**
+		 * Returns which request it happened to.
+		 * @return the request's fingerprint
+		 */
+		Digest fingerprint();
+
+		/**
+		 * Returns when it happened.
+		 * @return the monotonic time in milliseconds
+		 */
+		long atMillis();
+
+		/**
+		 * A target died while it ran the request.
+		 *
+		 * @param fingerprint the request's fingerprint
+		 * @param death identifies the death
+		 * @param atMillis monotonic time of the death in milliseconds
+		 * @param <D> type that identifies a death
+		 */
+		record Death<D>(Digest fingerprint, D death, long atMillis) implements Event<D> {
+
+		}
+
+		/**
+		 * A target answered the request, which had been running when another one died.
+		 *
+		 * @param fingerprint the request's fingerprint
+		 * @param atMillis monotonic time of the answer in milliseconds
+		 * @param <D> type that identifies a death
+		 */
+		record Survival<D>(Digest fingerprint, long atMillis) implements Event<D> {
+
+		}
+
+	}
+
 	/**
 	 * What is known of one request.
 	 *
 	 * @param deathTimes time of each death after the last survival, in monotonic
-	 * milliseconds, by target as passed to {@link #recordDeath}
+	 * milliseconds
 	 * @param survivedAt time of the last survival, in monotonic milliseconds;
 	 * {@link #NEVER} if there was none
+	 * @param <D> type that identifies a death
 	 */
-	private record RequestRecord(Map<String, Long> deathTimes, long survivedAt) {
+	private record RequestRecord<D>(Map<D, Long> deathTimes, long survivedAt) {
 
 		static final long NEVER = Long.MIN_VALUE / 2;
 
-		static final RequestRecord EMPTY = new RequestRecord(Map.of(), NEVER);
-
-		RequestRecord withDeath(String target, long diedAt) {
-			Map<String, Long> added = new HashMap<>(this.deathTimes);
-			added.put(target, diedAt);
-			return new RequestRecord(added, this.survivedAt);
+		RequestRecord<D> withDeath(D death, long diedAt) {
+			Map<D, Long> added = new HashMap<>(this.deathTimes);
+			added.put(death, diedAt);
+			return new RequestRecord<>(added, this.survivedAt);
 		}
 
-		RequestRecord withSurvival(long at) {
-			Map<String, Long> later = new HashMap<>(this.deathTimes);
+		RequestRecord<D> withSurvival(long at) {
+			Map<D, Long> later = new HashMap<>(this.deathTimes);
 			later.values().removeIf((diedAt) -> diedAt <= at);
-			return new RequestRecord(later, Math.max(at, this.survivedAt));
+			return new RequestRecord<>(later, Math.max(at, this.survivedAt));
+		}
+
+		void addEvents(Digest fingerprint, List<Event<D>> events) {
+			if (this.survivedAt != NEVER) {
+				events.add(new Event.Survival<>(fingerprint, this.survivedAt));
+			}
+			this.deathTimes.forEach((death, diedAt) -> events.add(new Event.Death<>(fingerprint, death, diedAt)));
 		}
 
 		long changedAt() {
--- a/core/src/test/java/org/eelgrasspitch/request/QuarantineTests.java
+++ b/core/src/test/java/org/eelgrasspitch/request/QuarantineTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.request.Quarantine.Event;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -17,11 +18,11 @@
 
 	private static final Digest BESIDE = digest("beside");
 
-	private Quarantine quarantine;
+	private Quarantine<String> quarantine;
 
 	@BeforeMethod
 	public void create() {
-		this.quarantine = new Quarantine(3);
+		this.quarantine = new Quarantine<>(3);
 	}
 
 	@Test
@@ -54,6 +55,29 @@
 		Assert.assertEquals(this.quarantine.deathCount(CRASHING), 1);
 	}
 
+	@Test
+	public void nodesThatExchangeWhatTheyKnowAgree() {
+		Quarantine<String> other = new Quarantine<>(3);
+		List.of("a", "b", "c").forEach((target) -> this.quarantine.recordDeath(CRASHING, target, 1_000));
+		List.of("a", "b").forEach((target) -> other.recordDeath(BESIDE, target, 1_000));
+		this.quarantine.recordDeath(BESIDE, "a", 1_000);
+		this.quarantine.recordSurvival(BESIDE, 1_500);
+		List<Event<String>> known = this.quarantine.recentEvents(10, 2_000);
+		other.recentEvents(10, 2_000).forEach((event) -> record(this.quarantine, event));
+		known.forEach((event) -> record(other, event));
+		for (Quarantine<String> each : List.of(this.quarantine, other)) {
+			Assert.assertTrue(each.isQuarantined(CRASHING, 2_000));
+			Assert.assertEquals(each.deathCount(BESIDE), 0);
+		}
+	}
+
+	@Test
+	public void onlyTheNewestRecordsAreExchanged() {
+		this.quarantine.recordDeath(CRASHING, "a", 1_000);
+		this.quarantine.recordDeath(BESIDE, "a", 2_000);
+		Assert.assertEquals(this.quarantine.recentEvents(1, 3_000), List.of(new Event.Death<>(BESIDE, "a", 2_000)));
+	}
+
 	@Test
 	public void recordsAreDroppedAfterTheQuarantine() {
 		List.of("a", "b", "c").forEach((target) -> this.quarantine.recordDeath(CRASHING, target, 1_000));
@@ -62,6 +86,15 @@
 		Assert.assertEquals(this.quarantine.suspectCount(601_000), 0);
 	}
 
+	private static void record(Quarantine<String> receiver, Event<String> event) {
+		switch (event) {
+			case Event.Death<String> death ->
+				receiver.recordDeath(death.fingerprint(), death.death(), death.atMillis());
+			case Event.Survival<String> survival ->
+				receiver.recordSurvival(survival.fingerprint(), survival.atMillis());
+		}
+	}
+
 	private static Digest digest(String text) {
 		return Digest.of(text.getBytes(StandardCharsets.UTF_8));
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -56,7 +56,7 @@
 	private final ConcurrencyLimit concurrencyLimit = new ConcurrencyLimit();
 
 	/** Requests that crash targets; guarded by its own lock. */
-	private final Quarantine quarantine = new Quarantine();
+	private final Quarantine<String> quarantine = new Quarantine<>();
 
 	/** True while the target reports that it is draining. */
 	private volatile boolean targetLeaving;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -242,6 +242,7 @@
 			.logNodeEvent(LogEvent.LINK_OPENED, "peer", vm, "address", link.peer(), "dialled", outbound, "second",
 					previous != null);
 		link.sendHeartbeat(heartbeat());
+		this.quarantine.linkOpened(link);
 		updateRole();
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
@@ -10,6 +10,7 @@
 import org.eelgrasspitch.proxy.generated.LinkMessage;
 import org.eelgrasspitch.proxy.generated.LinkSurvival;
 import org.eelgrasspitch.request.Quarantine;
+import org.eelgrasspitch.request.Quarantine.Event;
 
 /**
  * Knows which requests crash targets, as recorded by this node and its peers, and tells
@@ -18,20 +19,23 @@
  * The home of a crashed target reports all requests that ran there. An entry node whose
  * request is answered although it was reported tells that as well. A report from another
  * failure domain is passed on within this one, because its sender has links to some of
- * the peers only.
+ * the peers only. A new peer is told what is known when the link opens.
  */
 final class QuarantineKeeper {
 
 	/**
 	 * Number of crashes that quarantine a request that no target has answered since. A
-	 * target that starts again and crashes again counts each time. Three, because a request that is resent after a crash meets those
-	 * that ran beside it again.
+	 * target that starts again and crashes again counts each time. Three, because a
+	 * request that is resent after a crash meets those that ran beside it again.
 	 */
 	private static final int CRASH_THRESHOLD = 3;
 
+	/** Maximum number of requests of which a new link is told. */
+	private static final int MAX_REQUESTS_FOR_NEW_LINK = 1_000;
+
 	private final ProxyContext context;
 
-	private final Quarantine quarantine = new Quarantine(CRASH_THRESHOLD);
+	private final Quarantine<TargetCrash> quarantine = new Quarantine<>(CRASH_THRESHOLD);
 
 	private Broadcast broadcast = (message, receives) -> {
 	};
@@ -62,8 +66,9 @@
 	 */
 	void targetCrashed(Collection<Digest> fingerprints, TargetCrash crash) {
 		for (Digest fingerprint : fingerprints) {
-			recordCrash(fingerprint, crash);
-			this.broadcast.send(crashNotice(fingerprint, crash), (link) -> true);
+			Event.Death<TargetCrash> death = new Event.Death<>(fingerprint, crash, this.context.now());
+			record(death);
+			this.broadcast.send(toWire(death), (link) -> true);
 		}
 	}
 
@@ -77,23 +82,33 @@
 		if (this.quarantine.suspectCount(this.context.now()) == 0) {
 			return;
 		}
-		Digest answered = fingerprint.get();
-		if (recordSurvival(answered)) {
-			this.broadcast.send(survivalNotice(answered), Link::acceptsSurvivals);
+		Event<TargetCrash> survival = new Event.Survival<>(fingerprint.get(), this.context.now());
+		if (record(survival)) {
+			this.broadcast.send(toWire(survival), Link::acceptsSurvivals);
 		}
 	}
 
+	/**
+	 * Tells a new peer what is known; it may have started after the crashes, or been out
+	 * of reach.
+	 * @param link link to the peer
+	 */
+	void linkOpened(Link link) {
+		this.quarantine.recentEvents(MAX_REQUESTS_FOR_NEW_LINK, this.context.now())
+			.stream()
+			.filter((event) -> event instanceof Event.Death || link.acceptsSurvivals())
+			.forEach((event) -> link.send(toWire(event)));
+	}
+
 	/**
 	 * Records a crash that a peer reports.
 	 * @param notice the report
 	 * @param fromNear whether the peer is in this node's failure domain
 	 */
 	void handleCrashNotice(LinkDeath notice, boolean fromNear) {
-		Digest fingerprint = Digest.fromBytes(notice.getFingerprint(), 0);
-		TargetCrash crash = new TargetCrash(notice.getTarget(), notice.getCrash());
-		if (recordCrash(fingerprint, crash) && !fromNear) {
-			this.broadcast.send(crashNotice(fingerprint, crash), Link::isNear);
-		}
+		handle(new Event.Death<>(Digest.fromBytes(notice.getFingerprint(), 0),
+				new TargetCrash(notice.getTarget(), notice.getCrash()), this.context.now() - notice.getAgeMillis()),
+				fromNear);
 	}
 
 	/**
@@ -102,9 +117,14 @@
 	 * @param fromNear whether the peer is in this node's failure domain
 	 */
 	void handleSurvivalNotice(LinkSurvival notice, boolean fromNear) {
-		Digest fingerprint = Digest.fromBytes(notice.getFingerprint(), 0);
-		if (recordSurvival(fingerprint) && !fromNear) {
-			this.broadcast.send(survivalNotice(fingerprint), (link) -> link.isNear() && link.acceptsSurvivals());
+		handle(new Event.Survival<>(Digest.fromBytes(notice.getFingerprint(), 0),
+				this.context.now() - notice.getAgeMillis()), fromNear);
+	}
+
+	private void handle(Event<TargetCrash> event, boolean fromNear) {
+		if (record(event) && !fromNear) {
+			this.broadcast.send(toWire(event),
+					(link) -> link.isNear() && (event instanceof Event.Death || link.acceptsSurvivals()));
 		}
 	}
 
@@ -116,33 +136,47 @@
 		return this.quarantine.count(this.context.now());
 	}
 
-	private boolean recordCrash(Digest fingerprint, TargetCrash crash) {
-		boolean added = this.quarantine.recordDeath(fingerprint, crash.name(), this.context.now());
+	/**
+	 * Records an event.
+	 * @return false if it changes nothing
+	 */
+	private boolean record(Event<TargetCrash> event) {
+		return switch (event) {
+			case Event.Death<TargetCrash> death -> recordDeath(death);
+			case Event.Survival<TargetCrash> survival -> recordSurvival(survival);
+		};
+	}
+
+	private boolean recordDeath(Event.Death<TargetCrash> event) {
+		boolean added = this.quarantine.recordDeath(event.fingerprint(), event.death(), event.atMillis());
 		if (added) {
 			this.context.log()
-				.logNodeEvent(LogEvent.TARGET_DIED, "target", crash.target(), "fingerprint", fingerprint.hex(), "crashes",
-						this.quarantine.deathCount(fingerprint));
+				.logNodeEvent(LogEvent.TARGET_DIED, "target", event.death().target(), "fingerprint",
+						event.fingerprint().hex(), "crashes", this.quarantine.deathCount(event.fingerprint()));
 		}
 		return added;
 	}
 
-	private boolean recordSurvival(Digest fingerprint) {
-		int crashes = this.quarantine.deathCount(fingerprint);
-		boolean cleared = this.quarantine.recordSurvival(fingerprint, this.context.now());
+	private boolean recordSurvival(Event.Survival<TargetCrash> event) {
+		int crashes = this.quarantine.deathCount(event.fingerprint());
+		boolean cleared = this.quarantine.recordSurvival(event.fingerprint(), event.atMillis());
 		if (cleared) {
 			this.context.log()
-				.logNodeEvent(LogEvent.SUSPECT_CLEARED, "fingerprint", fingerprint.hex(), "crashes", crashes);
+				.logNodeEvent(LogEvent.SUSPECT_CLEARED, "fingerprint", event.fingerprint().hex(), "crashes", crashes);
 		}
 		return cleared;
 	}
 
-	private static LinkMessage crashNotice(Digest fingerprint, TargetCrash crash) {
-		return LinkMessage
-			.death(new LinkDeath(ByteBuffer.wrap(fingerprint.bytes()), crash.target()).setCrash(crash.number()));
-	}
-
-	private static LinkMessage survivalNotice(Digest fingerprint) {
-		return LinkMessage.survival(new LinkSurvival(ByteBuffer.wrap(fingerprint.bytes())));
+	private LinkMessage toWire(Event<TargetCrash> event) {
+		ByteBuffer fingerprint = ByteBuffer.wrap(event.fingerprint().bytes());
+		int ageMillis = (int) (this.context.now() - event.atMillis());
+		return switch (event) {
+			case Event.Death<TargetCrash> death ->
+				LinkMessage.death(new LinkDeath(fingerprint, death.death().target()).setCrash(death.death().number())
+					.setAgeMillis(ageMillis));
+			case Event.Survival<TargetCrash> survival ->
+				LinkMessage.survival(new LinkSurvival(fingerprint).setAgeMillis(ageMillis));
+		};
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCrash.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCrash.java
@@ -10,12 +10,4 @@
  */
 record TargetCrash(String target, long number) {
 
-	/**
-	 * Returns a name that no other crash has.
-	 * @return the name; the target's identifier alone if the number is 0
-	 */
-	String name() {
-		return (this.number == 0) ? this.target : this.target + '@' + this.number;
-	}
-
 }
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -165,11 +165,15 @@
   2: required string target
   // Distinguishes this crash from others of the target, which keeps its identifier when it starts again; absent: 0.
   3: optional i64 crash
+  // Time since the crash when sent, in milliseconds; absent: 0.
+  4: optional i32 ageMillis
 }
 
 // A target has answered a request that was running when another one crashed.
 struct LinkSurvival {
   1: required binary fingerprint
+  // Time since the answer when sent, in milliseconds; absent: 0.
+  2: optional i32 ageMillis
 }
 
 union LinkMessage {
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -307,6 +307,17 @@
     And a requester at pay-a sends GET /desk/crash 4 times while crashed servers come back
     Then no further server crashed
 
+  # Guards against a node that does not know what crashed before it started.
+  Scenario: A node that starts after the crashes refuses the request as well
+    Given servers with their nodes at desk-a desk-b desk-c pay-a pay-b
+    When a requester at pay-a sends GET /desk/crash 3 times while crashed servers come back
+    And the node at pay-b dies
+    And the node at pay-b is started again
+    Then pay-b is ready within 5 s
+    When 1500 ms pass
+    And a requester at pay-b sends GET /desk/crash 4 times while crashed servers come back
+    Then no further server crashed
+
   Scenario: A body that is longer than the operators allow
     When a requester at desk-b sends POST /pay/ok in pieces of 50000 bytes, 1500000 in all
     Then it gets status 413
