--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -336,9 +336,7 @@
 	 * @param body its body
 	 */
 	void recordAnswer(CallerRequest request, RequestBody body) {
-		if (!body.isStreamed()) {
-			this.links.quarantine().requestAnswered(() -> fingerprint(request, body));
-		}
+		this.links.quarantine().requestAnswered(() -> fingerprint(request, body));
 	}
 
 	/**
@@ -348,7 +346,7 @@
 	 * @return true if it must be refused
 	 */
 	boolean isQuarantined(CallerRequest request, RequestBody body) {
-		return !body.isStreamed() && this.links.quarantine().isQuarantined(() -> fingerprint(request, body));
+		return this.links.quarantine().isQuarantined(() -> fingerprint(request, body));
 	}
 
 	/**
@@ -361,17 +359,16 @@
 	 */
 	String suspectName(CallerRequest request, RequestBody body, FailureReason reason) {
 		boolean mayHaveCrashed = reason == FailureReason.TARGET_BROKE_OFF || reason == FailureReason.TARGET_CRASHED;
-		return (mayHaveCrashed && !body.isStreamed()) ? fingerprint(request, body).hex() : "";
+		return mayHaveCrashed ? fingerprint(request, body).map(Digest::hex).orElse("") : "";
 	}
 
 	/**
 	 * Returns the value by which a request is recognised at every node.
-	 * @param request the request
-	 * @param body its body, which must not be streamed
-	 * @return the fingerprint
+	 * @return the fingerprint; empty if the body is streamed
 	 */
-	Digest fingerprint(CallerRequest request, RequestBody body) {
-		return request.fingerprint(this.context.settings().service(), body);
+	private Optional<Digest> fingerprint(CallerRequest request, RequestBody body) {
+		return body.isStreamed() ? Optional.empty()
+				: Optional.of(request.fingerprint(this.context.settings().service(), body));
 	}
 
 	boolean isDisplaced(String targetId) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -38,9 +38,6 @@
 	/** Maximum time that a request waits for a link to open. */
 	private static final long LINK_WAIT_MILLIS = 400;
 
-	/** Retry delay told to the caller of a quarantined request. */
-	private static final int QUARANTINE_RETRY_AFTER_MILLIS = 2_000;
-
 	/** Minimum time left before the deadline for a retry to be worth sending. */
 	private static final long MIN_RETRY_MILLIS = 40;
 
@@ -191,7 +188,7 @@
 			return;
 		}
 		if (this.entry.isQuarantined(this.request, this.body)) {
-			unavailable("quarantined", QUARANTINE_RETRY_AFTER_MILLIS);
+			unavailable("quarantined", QuarantineKeeper.RETRY_AFTER_MILLIS);
 			return;
 		}
 		long now = now();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/FailureReason.java
@@ -51,7 +51,10 @@
 	 * The calls that the target would make while it runs this retried request are not
 	 * covered by the retry budget.
 	 */
-	RETRY_BUDGET;
+	RETRY_BUDGET,
+
+	/** The request crashes targets. */
+	QUARANTINED;
 
 	private final String loggedName = EnumNames.lowerCase(this);
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -207,6 +207,10 @@
 			refuse(call, FailureReason.WRONG_TARGET, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			return call;
 		}
+		if (this.quarantine.isQuarantined(call::fingerprint)) {
+			refuse(call, FailureReason.QUARANTINED, QuarantineKeeper.RETRY_AFTER_MILLIS);
+			return call;
+		}
 		if (head.retry() && !this.retryPermission.getAsBoolean()) {
 			refuse(call, FailureReason.RETRY_BUDGET, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			return call;
@@ -385,6 +389,11 @@
 	}
 
 	private void start(HomeCall call) {
+		if (this.quarantine.isQuarantined(call::fingerprint)) {
+			refuse(call, FailureReason.QUARANTINED, QuarantineKeeper.RETRY_AFTER_MILLIS);
+			releaseSlot();
+			return;
+		}
 		if (call.claim(now())) {
 			startPermitted(call);
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/IncomingCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/IncomingCall.java
@@ -64,10 +64,20 @@
 
 	@Override
 	public void failed(CallFailure failure) {
-		this.link.send(LinkMessage.failure(LinkFrames.toWire(this.stream, failure)));
+		this.link.send(LinkMessage.failure(LinkFrames.toWire(this.stream, known(failure))));
 		end();
 	}
 
+	/**
+	 * Replaces a reason that a peer of an earlier build does not know, because it would
+	 * close the link.
+	 */
+	private CallFailure known(CallFailure failure) {
+		return (failure.reason() == FailureReason.QUARANTINED && !this.link.acceptsSurvivals())
+				? CallFailure.notSent(FailureReason.TARGET_REFUSED, failure.retryAfterMillis(), failure.load())
+				: failure;
+	}
+
 	private void end() {
 		this.ended = true;
 		this.link.removeIncoming(this.stream);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/QuarantineKeeper.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Collection;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -30,6 +31,9 @@
 	 */
 	private static final int CRASH_THRESHOLD = 3;
 
+	/** Retry delay told to the caller of a quarantined request. */
+	static final int RETRY_AFTER_MILLIS = 2_000;
+
 	/** Maximum number of requests of which a new link is told. */
 	private static final int MAX_REQUESTS_FOR_NEW_LINK = 1_000;
 
@@ -50,13 +54,14 @@
 
 	/**
 	 * Returns whether a request is quarantined.
-	 * @param fingerprint supplies the request's fingerprint; called only if any request
-	 * is quarantined
+	 * @param fingerprint supplies the request's fingerprint, or empty if it has none;
+	 * called only if any request is quarantined
 	 * @return true if it must not be sent to a target
 	 */
-	boolean isQuarantined(Supplier<Digest> fingerprint) {
+	boolean isQuarantined(Supplier<Optional<Digest>> fingerprint) {
 		long now = this.context.now();
-		return this.quarantine.count(now) > 0 && this.quarantine.isQuarantined(fingerprint.get(), now);
+		return this.quarantine.count(now) > 0
+				&& fingerprint.get().filter((known) -> this.quarantine.isQuarantined(known, now)).isPresent();
 	}
 
 	/**
@@ -75,14 +80,17 @@
 	/**
 	 * Records that a target has answered a request, and notifies all peers if the request
 	 * was suspected of crashing targets.
-	 * @param fingerprint supplies the request's fingerprint; called only if any request
-	 * is suspected
+	 * @param fingerprint supplies the request's fingerprint, or empty if it has none;
+	 * called only if any request is suspected
 	 */
-	void requestAnswered(Supplier<Digest> fingerprint) {
-		if (this.quarantine.suspectCount(this.context.now()) == 0) {
-			return;
+	void requestAnswered(Supplier<Optional<Digest>> fingerprint) {
+		if (this.quarantine.suspectCount(this.context.now()) > 0) {
+			fingerprint.get().ifPresent(this::recordAnswer);
 		}
-		Event<TargetCrash> survival = new Event.Survival<>(fingerprint.get(), this.context.now());
+	}
+
+	private void recordAnswer(Digest fingerprint) {
+		Event<TargetCrash> survival = new Event.Survival<>(fingerprint, this.context.now());
 		if (record(survival)) {
 			this.broadcast.send(toWire(survival), Link::acceptsSurvivals);
 		}
