--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -188,7 +188,7 @@
 			return;
 		}
 		if (this.entry.isQuarantined(this.request, this.body)) {
-			unavailable("quarantined", QuarantineKeeper.RETRY_AFTER_MILLIS);
+			refuseOrFail("quarantined", QuarantineKeeper.RETRY_AFTER_MILLIS);
 			return;
 		}
 		long now = now();
@@ -315,12 +315,16 @@
 	}
 
 	private void giveUp() {
+		FailureReason last = this.attempts.lastReason();
+		refuseOrFail((last != null) ? last.loggedName() : "no target", this.attempts.retryAfterMillis());
+	}
+
+	private void refuseOrFail(String reason, int retryAfterMillis) {
 		if (this.attempts.mayHaveRun()) {
 			fail(HttpResponseStatus.BAD_GATEWAY);
 			return;
 		}
-		FailureReason last = this.attempts.lastReason();
-		unavailable((last != null) ? last.loggedName() : "no target");
+		unavailable(reason, retryAfterMillis);
 	}
 
 	private void expire() {
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/CrashingCaller.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/CrashingCaller.java
@@ -23,6 +23,9 @@
 
 	private int nextId;
 
+	/** Status of the last answer. */
+	private int lastStatus;
+
 	/** Number of servers that the last series reached. */
 	private int reachedServers;
 
@@ -46,7 +49,7 @@
 			for (String other : beside) {
 				others.add(open(world, vm, other));
 			}
-			crashing.read();
+			this.lastStatus = crashing.read().status();
 			world.revive();
 			for (RawCaller other : others) {
 				other.read();
@@ -56,6 +59,10 @@
 		this.reachedServers = world.startsOf(path) - before;
 	}
 
+	int lastStatus() {
+		return this.lastStatus;
+	}
+
 	int reachedServers() {
 		return this.reachedServers;
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -343,18 +343,7 @@
 
 	@When("a requester at {word} keeps sending GET {word} until the node ends")
 	public void sendUntilTheEnd(String vm, String path) {
-		this.cutOff = 0;
-		while (this.world.readiness(vm) != 0) {
-			try (RawCaller each = this.world.caller(vm)) {
-				each.request("GET", HOST, path, "q" + this.nextId++, TIMEOUT_MILLIS, "");
-				this.cutOff += (each.read().status() == 0) ? 1 : 0;
-			}
-			catch (IOException ex) {
-				// A connection that is not accepted has taken no request.
-				return;
-			}
-			Cluster.sleep(100);
-		}
+		this.cutOff = this.pressing.countCutOff(this.world, vm, path);
 	}
 
 	@When("{int} requesters at {word} send GET {word} without a pause until the node ends")
@@ -385,6 +374,11 @@
 		this.crashing.send(this.world, vm, path, times, Collections.nCopies(others, otherPath));
 	}
 
+	@Then("the last of them gets status {int}")
+	public void lastCrashing(int status) {
+		Assert.assertEquals(this.crashing.lastStatus(), status);
+	}
+
 	@Then("no further server crashed")
 	public void noneCrashed() {
 		Assert.assertEquals(this.crashing.reachedServers(), 0);
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PressingCallers.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PressingCallers.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.eelgrasspitch.testkit.Cluster;
 import org.eelgrasspitch.testkit.mesh.RawCaller;
 import org.eelgrasspitch.testkit.mesh.ServerStandIn;
 
@@ -17,6 +18,8 @@
 
 	private static final long TIMEOUT_MILLIS = 3_000;
 
+	private static final long PAUSE_MILLIS = 100;
+
 	/** Identifiers of requests whose connection ended without an answer. */
 	private final Set<String> unanswered = ConcurrentHashMap.newKeySet();
 
@@ -29,6 +32,29 @@
 		callers.forEach(PressingCallers::join);
 	}
 
+	/**
+	 * Sends one request after the other, with pauses, until the node has ended.
+	 * @param world the deployment
+	 * @param vm VM of the node
+	 * @param path path of the requests
+	 * @return number of requests whose accepted connection ended without an answer
+	 */
+	int countCutOff(PlatformWorld world, String vm, String path) {
+		int cutOff = 0;
+		for (int number = 0; world.readiness(vm) != 0; number++) {
+			try (RawCaller each = world.caller(vm)) {
+				each.request("GET", PlatformSteps.HOST, path, "pause" + number, TIMEOUT_MILLIS, "");
+				cutOff += (each.read().status() == 0) ? 1 : 0;
+			}
+			catch (IOException ex) {
+				// A connection that is not accepted has taken no request.
+				return cutOff;
+			}
+			Cluster.sleep(PAUSE_MILLIS);
+		}
+		return cutOff;
+	}
+
 	/**
 	 * Returns the requests that a server received and whose callers got no answer.
 	 * @param server the server
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -318,6 +318,12 @@
     And a requester at pay-b sends GET /desk/crash 4 times while crashed servers come back
     Then no further server crashed
 
+  # Guards against the claim that a request has not run after it has crashed a server.
+  Scenario: A request that is quarantined after it ran is not reported as not run
+    Given servers with their nodes at desk-a desk-b desk-c desk-d pay-a
+    When a requester at pay-a sends GET /desk/crash 2 times while crashed servers come back
+    Then the last of them gets status 502
+
   Scenario: A body that is longer than the operators allow
     When a requester at desk-b sends POST /pay/ok in pieces of 50000 bytes, 1500000 in all
     Then it gets status 413
