--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -469,7 +469,7 @@
 				&& !tryAcquireRetry(failure, this.attempts.reachedTargetCount() + 1)) {
 			return false;
 		}
-		// The rest of this response still arrives and is ignored; it is small.
+		answering.supersede();
 		if (!this.attempts.failed(answering, failure)) {
 			chooseTarget();
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -217,7 +217,9 @@
 			return;
 		}
 		// Nobody reads the response any more, but the target has to finish it.
-		credit(content.length);
+		if (this.connection != null && !this.connection.drop(content.length)) {
+			this.home.abandonedTooLong(this);
+		}
 	}
 
 	void failed(CallFailure failure) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -367,6 +367,15 @@
 		}
 	}
 
+	/**
+	 * Ends a call whose response nobody waits for and whose body does not end.
+	 * @param call the call
+	 */
+	void abandonedTooLong(HomeCall call) {
+		call.connection().abort();
+		failed(call, FailureReason.TARGET_GARBLED, true);
+	}
+
 	private void applyDecision(Decision<HomeCall> decision) {
 		decision.refused()
 			.forEach((refused) -> refuse(refused.work(), FailureReason.OVERLOADED, (int) refused.retryAfterMillis()));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -33,7 +34,9 @@
  * Any other response must echo the identifier of the call and carry the signature header,
  * whose value is not verified; a successful one must also be unencoded. Bytes that are
  * not a valid response, or that arrive while no call is in progress, close the
- * connection.
+ * connection. So does a target that sends more than a bounded number of responses and
+ * bytes that do not belong to the call. The body of a refusal, or of a response that
+ * nobody waits for, is read to its end only so that the connection can be used again.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -43,6 +46,24 @@
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
+	/**
+	 * Maximum number of interim and late responses before the response to a call. A
+	 * target in trouble may send them without end.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 64;
+
+	/**
+	 * Maximum number of body bytes that are read and dropped during a call, as the bodies
+	 * of late responses or of a response that nobody waits for.
+	 */
+	private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
+
+	/** Maximum number of body bytes of a refusal that are read to keep the connection. */
+	private static final long MAX_REFUSAL_BYTES = 65_536;
+
+	/** Time for which the rest of a refusal is awaited to keep the connection. */
+	private static final long REFUSAL_BODY_MILLIS = 50;
+
 	/**
 	 * Idle timeout of a target that does not announce one, in milliseconds.
 	 */
@@ -82,6 +103,11 @@
 	 */
 	private boolean skippingResponse;
 
+	private int skippedResponses;
+
+	/** Body bytes dropped during the call. */
+	private long skippedBytes;
+
 	/** The refusal stated by the current response; null if it states none. */
 	private FailureReason refusal;
 
@@ -145,6 +171,8 @@
 		this.bodyEnded = false;
 		this.responseStarted = false;
 		this.refusal = null;
+		this.skippedResponses = 0;
+		this.skippedBytes = 0;
 		this.responseCreditBytes = CallListener.WINDOW_BYTES;
 		this.channel.write(createRequest(sent.head()));
 		sent.useConnection(this);
@@ -244,6 +272,10 @@
 		if (this.skippingResponse) {
 			// More late responses may follow, so the connection is not reused.
 			this.reusable &= !otherRequest;
+			this.skippedResponses++;
+			if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+				failConnection(FailureReason.TARGET_GARBLED);
+			}
 			return;
 		}
 		this.reusable &= HttpUtil.isKeepAlive(response);
@@ -274,10 +306,14 @@
 	private void handleContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
+			if (!mayDrop(content, MAX_SKIPPED_BYTES)) {
+				failConnection(FailureReason.TARGET_GARBLED);
+			}
 			return;
 		}
 		if (this.refusal != null) {
-			if (last) {
+			this.reusable &= mayDrop(content, MAX_REFUSAL_BYTES);
+			if (last || !this.reusable) {
 				completeRefusal();
 			}
 			return;
@@ -297,6 +333,42 @@
 		}
 	}
 
+	/**
+	 * Counts bytes that are dropped.
+	 * @return false if they exceed the maximum
+	 */
+	private boolean mayDrop(HttpContent content, long maxBytes) {
+		this.skippedBytes += content.content().readableBytes();
+		return this.skippedBytes <= maxBytes;
+	}
+
+	/**
+	 * Drops a part of a response that nobody waits for.
+	 * @param bytes length of the part in bytes
+	 * @return false if the response is longer than can be awaited
+	 */
+	boolean drop(int bytes) {
+		this.skippedBytes += bytes;
+		credit(bytes);
+		return this.skippedBytes <= MAX_SKIPPED_BYTES;
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.refusal != null && this.call != null) {
+			HomeCall refused = this.call;
+			context.executor().schedule(() -> abandonRefusalBody(refused), REFUSAL_BODY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		context.fireChannelReadComplete();
+	}
+
+	private void abandonRefusalBody(HomeCall refused) {
+		if (this.call == refused && this.refusal != null) {
+			this.reusable = false;
+			completeRefusal();
+		}
+	}
+
 	private void completeRefusal() {
 		HomeCall current = this.call;
 		FailureReason reason = this.refusal;
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -63,6 +63,7 @@
 	public void servers(String vms) throws IOException {
 		close();
 		this.world = new PlatformWorld();
+		PlatformWorlds.replace(this.world);
 		this.world.publish("", "");
 		for (String vm : vms.split(" ")) {
 			this.world.add(vm);
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
@@ -1,11 +1,13 @@
 package org.eelgrasspitch.testkit.mesh;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
@@ -89,6 +91,41 @@
 		return readBody(status, ServerStandIn.readHeaders(this.input));
 	}
 
+	/**
+	 * Reads one response and keeps nothing of it.
+	 * @return true if its body ended as its head announced; false if the connection was
+	 * closed before
+	 * @throws IOException if nothing arrives within 8 s
+	 */
+	public boolean isWholeWhenSkipped() throws IOException {
+		try {
+			ServerStandIn.readLine(this.input);
+			Map<String, String> headers = ServerStandIn.readHeaders(this.input);
+			if (headers.containsKey("content-length")) {
+				this.input.skipNBytes(Long.parseLong(headers.get("content-length")));
+				return true;
+			}
+			int size = readChunkSize();
+			while (size > 0) {
+				this.input.skipNBytes(size + (long) "\r\n".length());
+				size = readChunkSize();
+			}
+			return size == 0;
+		}
+		catch (EOFException | SocketException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Reads the size line of a chunk.
+	 * @return the size in bytes; negative if the connection was closed
+	 */
+	private int readChunkSize() throws IOException {
+		String line = ServerStandIn.readLine(this.input);
+		return (line == null || line.isEmpty()) ? -1 : Integer.parseInt(line, 16);
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.socket.close();
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -36,6 +37,8 @@
 
 	private static final int LONG_BODY_BYTES = 300_000;
 
+	private static final int ENDLESS_BLOCK_BYTES = 4_096;
+
 	private final ServerSocket socket;
 
 	private final String id;
@@ -47,6 +50,9 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
+	/** Bytes written by {@code endless-} requests. */
+	private final AtomicLong endlessBytes = new AtomicLong();
+
 	private final AtomicInteger maxRunning = new AtomicInteger();
 
 	private final List<Socket> openSockets = new ArrayList<>();
@@ -98,6 +104,14 @@
 		return this.socket.isClosed();
 	}
 
+	/**
+	 * Returns how many bytes {@code endless-} requests have got rid of.
+	 * @return the number of bytes, including those in buffers of the system
+	 */
+	public long endlessBytes() {
+		return this.endlessBytes.get();
+	}
+
 	/**
 	 * Returns how many requests are running.
 	 * @return the number
@@ -233,6 +247,21 @@
 				close();
 				return false;
 			}
+			case "endless-noise" -> writeEndlessly(accepted, "", "no answer ");
+			case "endless-blank" -> writeEndlessly(accepted, "", "\r\n\r\n");
+			case "endless-head" -> writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + ownHeaders + "X-Filler: ", "y");
+			case "endless-interim" -> writeEndlessly(accepted, "", "HTTP/1.1 100 Continue\r\n\r\n");
+			case "endless-foreign" ->
+				writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + responseHeaders("another") + "\r\n", "not yours ");
+			case "endless-refusal" ->
+				writeEndlessly(accepted, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n\r\n", "busy ");
+			case "endless-error" ->
+				writeEndlessly(accepted, "HTTP/1.1 500 Failed\r\n" + ownHeaders + "\r\n", "failed ");
+			case "endless-body" -> writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n", "more ");
+			case "endless-chunks" -> writeEndlessly(accepted,
+					"HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n");
+			case "endless-chunk-size" -> writeEndlessly(accepted,
+					"HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n", "0");
 			case "long" -> writeResponse(output, "200 OK", ownHeaders, "x".repeat(LONG_BODY_BYTES));
 			case "chunked" -> writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders
 					+ "Transfer-Encoding: chunked\r\n\r\n4\r\nfrom\r\n2\r\n t\r\n0\r\n\r\n");
@@ -271,6 +300,22 @@
 		output.flush();
 	}
 
+	/**
+	 * Writes until the reader closes the connection.
+	 * @param accepted the connection
+	 * @param start what comes first
+	 * @param repeated what follows without end, in US-ASCII
+	 * @throws IOException when the reader has closed the connection
+	 */
+	private void writeEndlessly(Socket accepted, String start, String repeated) throws IOException {
+		writeRaw(accepted.getOutputStream(), start);
+		byte[] block = repeated.repeat(ENDLESS_BLOCK_BYTES / repeated.length()).getBytes(StandardCharsets.US_ASCII);
+		while (true) {
+			accepted.getOutputStream().write(block);
+			this.endlessBytes.addAndGet(block.length);
+		}
+	}
+
 	private static Received readRequest(InputStream input) throws IOException {
 		String line = readLine(input);
 		if (line == null) {
