--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -47,6 +47,9 @@
 
 	private static final Duration HEALTH_TIMEOUT = Duration.ofMillis(800);
 
+	/** Maximum number of bytes of a health response that are read. */
+	private static final long MAX_HEALTH_BYTES = 65_536;
+
 	private static final int MAX_IDLE_CONNECTIONS = 100;
 
 	private static final long KEEP_ALIVE_SECONDS = 30;
@@ -117,7 +120,7 @@
 			@Override
 			public void onResponse(Call answered, Response response) throws IOException {
 				try (response) {
-					callback.accept(response.body().string().contains("draining"));
+					callback.accept(beginning(response.body().source()).contains("draining"));
 				}
 			}
 		});
@@ -129,6 +132,15 @@
 		this.client.connectionPool().evictAll();
 	}
 
+	/**
+	 * Reads at most the first {@link #MAX_HEALTH_BYTES} bytes, because a target in
+	 * trouble may send bytes without end.
+	 */
+	private static String beginning(BufferedSource source) throws IOException {
+		source.request(MAX_HEALTH_BYTES);
+		return source.readUtf8(Math.min(source.getBuffer().size(), MAX_HEALTH_BYTES));
+	}
+
 	private HttpUrl url(String path) {
 		return new HttpUrl.Builder().scheme("http").host(this.host).port(this.port).addPathSegment(path).build();
 	}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -37,6 +37,8 @@
 
 	private static final int LONG_BODY_BYTES = 300_000;
 
+	private static final String ENDLESS_PREFIX = "endless-";
+
 	private static final int ENDLESS_BLOCK_BYTES = 4_096;
 
 	private final ServerSocket socket;
@@ -201,6 +203,10 @@
 		}
 		this.maxRunning.accumulateAndGet(this.running.incrementAndGet(), Math::max);
 		try {
+			if (behaviour.startsWith(ENDLESS_PREFIX)) {
+				writeEndlessly(output, EndlessResponse.of(behaviour.substring(ENDLESS_PREFIX.length()),
+						responseHeaders(request.header("x-request-id")), responseHeaders("another")));
+			}
 			return respond(request, accepted, output, behaviour);
 		}
 		finally {
@@ -247,21 +253,6 @@
 				close();
 				return false;
 			}
-			case "endless-noise" -> writeEndlessly(accepted, "", "no answer ");
-			case "endless-blank" -> writeEndlessly(accepted, "", "\r\n\r\n");
-			case "endless-head" -> writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + ownHeaders + "X-Filler: ", "y");
-			case "endless-interim" -> writeEndlessly(accepted, "", "HTTP/1.1 100 Continue\r\n\r\n");
-			case "endless-foreign" ->
-				writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + responseHeaders("another") + "\r\n", "not yours ");
-			case "endless-refusal" ->
-				writeEndlessly(accepted, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n\r\n", "busy ");
-			case "endless-error" ->
-				writeEndlessly(accepted, "HTTP/1.1 500 Failed\r\n" + ownHeaders + "\r\n", "failed ");
-			case "endless-body" -> writeEndlessly(accepted, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n", "more ");
-			case "endless-chunks" -> writeEndlessly(accepted,
-					"HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n");
-			case "endless-chunk-size" -> writeEndlessly(accepted,
-					"HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n", "0");
 			case "long" -> writeResponse(output, "200 OK", ownHeaders, "x".repeat(LONG_BODY_BYTES));
 			case "chunked" -> writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders
 					+ "Transfer-Encoding: chunked\r\n\r\n4\r\nfrom\r\n2\r\n t\r\n0\r\n\r\n");
@@ -302,17 +293,16 @@
 
 	/**
 	 * Writes until the reader closes the connection.
-	 * @param accepted the connection
-	 * @param start what comes first
-	 * @param repeated what follows without end, in US-ASCII
+	 * @param output stream of the connection
+	 * @param response what to write
 	 * @throws IOException when the reader has closed the connection
 	 */
-	private void writeEndlessly(Socket accepted, String start, String repeated) throws IOException {
-		writeRaw(accepted.getOutputStream(), start);
-		byte[] block = repeated.repeat(ENDLESS_BLOCK_BYTES / repeated.length()).getBytes(StandardCharsets.US_ASCII);
+	private void writeEndlessly(OutputStream output, EndlessResponse response) throws IOException {
+		writeRaw(output, response.start());
+		String block = response.repeated().repeat(ENDLESS_BLOCK_BYTES / response.repeated().length());
 		while (true) {
-			accepted.getOutputStream().write(block);
-			this.endlessBytes.addAndGet(block.length);
+			writeRaw(output, block);
+			this.endlessBytes.addAndGet(block.length());
 		}
 	}
 
