--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -61,9 +61,15 @@
 
 	private final int deathThreshold;
 
-	/** Records by request fingerprint, in order of the last change. */
+	/** Records by request fingerprint, in order of the last change here. */
 	private final Map<Digest, RequestRecord<D>> records = new LinkedHashMap<>();
 
+	/** Number of records with at least one death. */
+	private int suspectCount;
+
+	/** Number of records with as many deaths as the threshold. */
+	private int quarantinedCount;
+
 	/**
 	 * Creates an instance with a threshold of {@link #DEATH_THRESHOLD}.
 	 */
@@ -123,7 +129,8 @@
 	 */
 	public boolean isQuarantined(Digest fingerprint, long now) {
 		dropOld(now);
-		return deathCount(fingerprint) >= this.deathThreshold;
+		RequestRecord<D> requestRecord = find(fingerprint);
+		return requestRecord.deathTimes().size() >= this.deathThreshold && !requestRecord.isOld(now);
 	}
 
 	/**
@@ -141,7 +148,8 @@
 	 * @return the number, quarantined requests included
 	 */
 	public int suspectCount(long now) {
-		return countWithDeaths(1, now);
+		dropOld(now);
+		return this.suspectCount;
 	}
 
 	/**
@@ -150,7 +158,8 @@
 	 * @return the number
 	 */
 	public int count(long now) {
-		return countWithDeaths(this.deathThreshold, now);
+		dropOld(now);
+		return this.quarantinedCount;
 	}
 
 	/**
@@ -174,23 +183,37 @@
 		return (found != null) ? found : new RequestRecord<>(Map.of(), RequestRecord.NEVER);
 	}
 
-	private int countWithDeaths(int least, long now) {
-		dropOld(now);
-		return (int) this.records.values()
-			.stream()
-			.filter((requestRecord) -> requestRecord.deathTimes().size() >= least)
-			.count();
-	}
-
 	private void replace(Digest fingerprint, RequestRecord<D> newest) {
-		this.records.remove(fingerprint);
+		remove(fingerprint);
 		this.records.put(fingerprint, newest);
+		count(newest, 1);
 	}
 
+	private void remove(Digest fingerprint) {
+		RequestRecord<D> removed = this.records.remove(fingerprint);
+		if (removed != null) {
+			count(removed, -1);
+		}
+	}
+
+	private void count(RequestRecord<D> requestRecord, int change) {
+		int deaths = requestRecord.deathTimes().size();
+		this.suspectCount += (deaths > 0) ? change : 0;
+		this.quarantinedCount += (deaths >= this.deathThreshold) ? change : 0;
+	}
+
+	/**
+	 * Drops the records that were changed first, as long as they are old or too many. It
+	 * is called for every request, so it does not look at the others: one that was
+	 * reported late may be kept longer than it has an effect.
+	 */
 	private void dropOld(long now) {
-		this.records.values().removeIf((requestRecord) -> now - requestRecord.changedAt() >= QUARANTINE_MILLIS);
-		while (this.records.size() > MAX_FINGERPRINTS) {
-			this.records.remove(this.records.keySet().iterator().next());
+		while (!this.records.isEmpty()) {
+			Map.Entry<Digest, RequestRecord<D>> first = this.records.entrySet().iterator().next();
+			if (this.records.size() <= MAX_FINGERPRINTS && !first.getValue().isOld(now)) {
+				return;
+			}
+			remove(first.getKey());
 		}
 	}
 
@@ -270,8 +293,9 @@
 			this.deathTimes.forEach((death, diedAt) -> events.add(new Event.Death<>(fingerprint, death, diedAt)));
 		}
 
-		long changedAt() {
-			return Math.max(this.survivedAt, this.deathTimes.values().stream().reduce(NEVER, Math::max));
+		boolean isOld(long now) {
+			long changedAt = this.deathTimes.values().stream().reduce(this.survivedAt, Math::max);
+			return now - changedAt >= QUARANTINE_MILLIS;
 		}
 
 	}
--- a/core/src/test/java/org/eelgrasspitch/request/QuarantineTests.java
+++ b/core/src/test/java/org/eelgrasspitch/request/QuarantineTests.java
@@ -86,6 +86,27 @@
 		Assert.assertEquals(this.quarantine.suspectCount(601_000), 0);
 	}
 
+	@Test
+	public void deathThatIsReportedLateEndsWhenItWouldHaveEndedBefore() {
+		this.quarantine.recordDeath(BESIDE, "a", 1_000);
+		List.of("a", "b", "c").forEach((target) -> this.quarantine.recordDeath(CRASHING, target, 500));
+		Assert.assertTrue(this.quarantine.isQuarantined(CRASHING, 600_499));
+		Assert.assertFalse(this.quarantine.isQuarantined(CRASHING, 600_500));
+		Assert.assertEquals(this.quarantine.count(601_000), 0);
+	}
+
+	/** A crash storm: far more suspects than are kept, each looked up once. */
+	@Test
+	public void suspectsAreBoundedAndCounted() {
+		for (int i = 0; i < 2 * Quarantine.MAX_FINGERPRINTS; i++) {
+			Digest fingerprint = digest("request" + i);
+			List.of("a", "b", "c").forEach((target) -> this.quarantine.recordDeath(fingerprint, target, 1_000));
+			Assert.assertTrue(this.quarantine.isQuarantined(fingerprint, 1_000));
+		}
+		Assert.assertEquals(this.quarantine.count(1_000), Quarantine.MAX_FINGERPRINTS);
+		Assert.assertEquals(this.quarantine.suspectCount(1_000), Quarantine.MAX_FINGERPRINTS);
+	}
+
 	private static void record(Quarantine<String> receiver, Event<String> event) {
 		switch (event) {
 			case Event.Death<String> death ->
