--- a/core/src/main/java/org/eelgrasspitch/request/CallMessage.java
+++ b/core/src/main/java/org/eelgrasspitch/request/CallMessage.java
@@ -102,11 +102,14 @@
 	}
 
 	/**
-	 * Acknowledges a {@link DeathNotice}.
+	 * Acknowledges a {@link DeathNotice} and tells which deaths the sender knows, since
+	 * the receiver may have started after them.
 	 *
 	 * @param call number of the call
+	 * @param targets names of the VMs whose targets died while they ran the request; may
+	 * be empty
 	 */
-	record DeathNoticeAck(long call) implements CallMessage {
+	record DeathNoticeAck(long call, List<String> targets) implements CallMessage {
 
 	}
 
--- a/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
+++ b/core/src/main/java/org/eelgrasspitch/request/Quarantine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.eelgrasspitch.misc.Digest;
 
@@ -142,6 +143,15 @@
 		return find(fingerprint).deathTimes().size();
 	}
 
+	/**
+	 * Returns the deaths of targets while they ran a request, since it last survived.
+	 * @param fingerprint the request's fingerprint
+	 * @return the deaths as passed to {@link #recordDeath}; empty if none is known
+	 */
+	public Set<D> deaths(Digest fingerprint) {
+		return Set.copyOf(find(fingerprint).deathTimes().keySet());
+	}
+
 	/**
 	 * Returns the number of requests under which at least one target died.
 	 * @param now current monotonic time in milliseconds
--- a/node/src/main/java/org/eelgrasspitch/node/DeathReporter.java
+++ b/node/src/main/java/org/eelgrasspitch/node/DeathReporter.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 import io.netty.util.HashedWheelTimer;
 import org.eelgrasspitch.misc.Digest;
@@ -15,7 +16,7 @@
  * lost while it ran a request, which counts as a death of the target. Waits for their
  * acknowledgements for at most {@value #ACKNOWLEDGEMENT_TIMEOUT_MILLIS} ms before the
  * entry node receives the failure, so that a resend through another node is refused by
- * the quarantine.
+ * the quarantine. The acknowledgements tell this node of deaths before its start.
  */
 final class DeathReporter {
 
@@ -37,10 +38,12 @@
 	 * Reports a death.
 	 * @param service name of the service
 	 * @param fingerprint fingerprint of the request
+	 * @param known called with the name of each VM whose target died under the request,
+	 * as the other nodes know it
 	 * @param done called exactly once, when every other node has acknowledged the report
 	 * or could not be reached, or after the timeout
 	 */
-	void report(String service, Digest fingerprint, Runnable done) {
+	void report(String service, Digest fingerprint, Consumer<String> known, Runnable done) {
 		String self = this.context.settings().vm();
 		List<Vm> others = this.context.state()
 			.vms()
@@ -57,7 +60,7 @@
 			}
 		};
 		others.forEach((vm) -> this.calls.call(vm.address(),
-				(call) -> new CallMessage.DeathNotice(call, fingerprint, self), new ReportCallback(nodeDone)));
+				(call) -> new CallMessage.DeathNotice(call, fingerprint, self), new ReportCallback(known, nodeDone)));
 		if (others.isEmpty()) {
 			once.accept(true);
 		}
@@ -66,12 +69,16 @@
 	/**
 	 * Counts a node as done, whether it acknowledged the report or could not be reached.
 	 *
+	 * @param known called with the deaths that the node knows
 	 * @param nodeDone called once for the node
 	 */
-	private record ReportCallback(Runnable nodeDone) implements CallClient.Callback {
+	private record ReportCallback(Consumer<String> known, Runnable nodeDone) implements CallClient.Callback {
 
 		@Override
 		public void replied(CallMessage message) {
+			if (message instanceof CallMessage.DeathNoticeAck ack) {
+				ack.targets().forEach(this.known);
+			}
 			this.nodeDone.run();
 		}
 
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -127,11 +127,14 @@
 
 	/**
 	 * Records that a target died while it ran a request.
-	 * @param notice the report
+	 * @param fingerprint the request's fingerprint
+	 * @param target name of the target's VM
+	 * @return names of all VMs whose targets are known to have died under the request
 	 */
-	void recordDeath(CallMessage.DeathNotice notice) {
+	List<String> recordDeath(Digest fingerprint, String target) {
 		synchronized (this.quarantine) {
-			this.quarantine.recordDeath(notice.fingerprint(), notice.target(), now());
+			this.quarantine.recordDeath(fingerprint, target, now());
+			return List.copyOf(this.quarantine.deaths(fingerprint));
 		}
 	}
 
@@ -242,9 +245,10 @@
 
 	private void reportDeath(PendingRequest pending, CallOutcome outcome) {
 		Digest fingerprint = pending.request.fingerprint().get();
-		recordDeath(new CallMessage.DeathNotice(0, fingerprint, this.context.settings().vm()));
-		this.deathReporter.report(pending.request.route().service(), fingerprint, () -> complete(pending,
-				isQuarantined(pending.request) ? new CallOutcome.Unknown(Reason.QUARANTINED) : outcome));
+		recordDeath(fingerprint, this.context.settings().vm());
+		this.deathReporter.report(pending.request.route().service(), fingerprint,
+				(target) -> recordDeath(fingerprint, target), () -> complete(pending,
+						isQuarantined(pending.request) ? new CallOutcome.Unknown(Reason.QUARANTINED) : outcome));
 	}
 
 	private synchronized void adjustLimit(CallOutcome outcome) {
--- a/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
+++ b/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.node;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -88,8 +89,8 @@
 			case CallMessage.OutcomeQuery query -> reply(connection, new CallMessage.Reply(query.call(),
 					this.home.outcome(query.ticket()), this.context.state().revision()));
 			case CallMessage.DeathNotice notice -> {
-				this.home.recordDeath(notice);
-				reply(connection, new CallMessage.DeathNoticeAck(notice.call()));
+				List<String> targets = this.home.recordDeath(notice.fingerprint(), notice.target());
+				reply(connection, new CallMessage.DeathNoticeAck(notice.call(), targets));
 			}
 			case CallMessage.DeathNoticeAck ack -> this.calls.received(connection, ack);
 			case CallMessage.Cancel cancel -> {
--- a/scenarios/src/test/resources/features/requests.feature
+++ b/scenarios/src/test/resources/features/requests.feature
@@ -68,6 +68,27 @@
     Then the broken targets got at most 2 requests since
     And each of its callers got a final answer
 
+  # Guards against a home that knows only the deaths of its own target and so lets it die again and again.
+  Scenario: A home that starts after the deaths learns of them when its target dies
+    Given a mesh of 6 nodes in 3 failure domains
+    And every target of renewals breaks off every answer but says it is healthy
+    When a caller sends a lookup that crashes its target through node vm-001
+    And a caller sends a lookup that crashes its target through node vm-002
+    And all nodes of fd-1 are killed and started at once
+    Then within 20 seconds every node holds the latest revision
+    When a caller sends a lookup that crashes its target through node vm-003
+    And a caller sends a lookup that crashes its target through node vm-004
+    And a caller sends a lookup that crashes its target through node vm-005
+    And a caller sends a lookup that crashes its target through node vm-006
+    And a caller sends a lookup that crashes its target through node vm-003
+    And a caller sends a lookup that crashes its target through node vm-004
+    And a caller sends a lookup that crashes its target through node vm-005
+    And a caller sends a lookup that crashes its target through node vm-006
+    And a caller sends a lookup that crashes its target through node vm-003
+    And a caller sends a lookup that crashes its target through node vm-004
+    Then the broken targets got at most 3 requests since
+    And each of its callers got a final answer
+
   Scenario: Targets that all failed are used again as soon as they work
     Given a mesh of 6 nodes in 3 failure domains
     And every target of renewals breaks off every answer but says it is healthy
--- a/wire/src/main/java/org/eelgrasspitch/wire/CallCodec.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/CallCodec.java
@@ -59,7 +59,8 @@
 				WireMessage.outcomeQuery(new WireOutcomeQuery(query.call(), query.ticket().encoded()));
 			case CallMessage.DeathNotice notice -> WireMessage.deathNotice(
 					new WireDeathNotice(notice.call(), ByteBuffer.wrap(notice.fingerprint().bytes()), notice.target()));
-			case CallMessage.DeathNoticeAck noted -> WireMessage.noted(new WireNoted(noted.call()));
+			case CallMessage.DeathNoticeAck noted ->
+				WireMessage.noted(new WireNoted(noted.call()).setTargets(noted.targets()));
 		};
 	}
 
@@ -75,7 +76,8 @@
 			case DEATH_NOTICE -> new CallMessage.DeathNotice(message.getDeathNotice().getCall(),
 					FrameCodec.decodeDigest(message.getDeathNotice().getFingerprint()),
 					message.getDeathNotice().getTarget());
-			case NOTED -> new CallMessage.DeathNoticeAck(message.getNoted().getCall());
+			case NOTED -> new CallMessage.DeathNoticeAck(message.getNoted().getCall(),
+					message.getNoted().isSetTargets() ? message.getNoted().getTargets() : List.of());
 			default -> throw new MalformedFrameException("not a request message: " + message.getSetField());
 		};
 	}
--- a/wire/src/main/thrift/eelgrasspitch.thrift
+++ b/wire/src/main/thrift/eelgrasspitch.thrift
@@ -165,6 +165,8 @@
 
 struct WireNoted {
   1: required i64 call
+  // VMs whose targets died while they ran the request, as far as the sender knows; absent: none.
+  2: optional list<string> targets
 }
 
 union WireMessage {
--- a/wire/src/test/java/org/eelgrasspitch/wire/FrameCodecTests.java
+++ b/wire/src/test/java/org/eelgrasspitch/wire/FrameCodecTests.java
@@ -103,7 +103,7 @@
 		frames.add(new Frame.Call(new CallMessage.Tickets(1, List.of(ticket), Optional.of(Reason.LEAVING))));
 		frames.add(new Frame.Call(new CallMessage.OutcomeQuery(1, ticket)));
 		frames.add(new Frame.Call(new CallMessage.DeathNotice(1, DIGEST, "vm")));
-		frames.add(new Frame.Call(new CallMessage.DeathNoticeAck(1)));
+		frames.add(new Frame.Call(new CallMessage.DeathNoticeAck(1, List.of("vm", "vm-2"))));
 		return frames;
 	}
 
