--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -26,11 +26,12 @@
 	private final Deque<byte[]> body = new ArrayDeque<>();
 
 	/**
-	 * All parts of the request body, for the fingerprint; empty once the body is too long
-	 * to be kept or the target responds.
+	 * All parts of the request body, for the fingerprint; empty once they exceed
+	 * {@link CallListener#WINDOW_BYTES}.
 	 */
 	private final List<byte[]> keptParts = new ArrayList<>();
 
+	/** Length of the request body received so far. */
 	private long bodyBytes;
 
 	/** Receives the response; null after the entry node has cancelled the call. */
