Log and measure the limit that a target names and that it says it is leaving

No line and no metric shows whether a node has seen the limit of a target, or how many requests it starts, so the hypotheses cannot be told apart. Change: the home reads Server-Limit and Server-Leaving from answers that count (StatementReader, mesh.TargetStatements), logs each change and shows the limit and the number of started calls as metrics. Nothing acts on them yet. Measured: OperationsPageTests, HomeServiceTests and DecisionLogTests pass.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HeaderNames.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HeaderNames.java
@@ -14,9 +14,13 @@
  * @param callerService names the service on the VM where the request originated
  * @param target identifies the target in responses to health checks and misdirected
  * requests
+ * @param targetLimit names the number of requests per second that a target takes from all
+ * nodes together, a decimal number; absent while it has no limit
+ * @param targetLeaving has the value 1 in all responses of a target that is about to stop
  * @param readinessPath path at which the deployment asks whether this node is ready
  */
 public record HeaderNames(String requestId, String remainingMillis, String signature, String expectedTarget,
-		String notRun, String callerService, String target, String readinessPath) {
+		String notRun, String callerService, String target, String targetLimit, String targetLeaving,
+		String readinessPath) {
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -74,6 +74,8 @@
 
 	private int slots = DEFAULT_SLOTS;
 
+	private final TargetCondition condition;
+
 	/** Whether this node is about to stop. */
 	private boolean leaving;
 
@@ -99,6 +101,7 @@
 		this.context = context;
 		this.connector = new TargetConnector(context, this);
 		this.quarantine = quarantine;
+		this.condition = new TargetCondition(context);
 		this.drainTimer = new DrainTimer(context.loop(), this::refuseWaiting);
 		context.loop()
 			.scheduleAtFixedRate(this::failOverdue, OVERDUE_CHECK_INTERVAL_MILLIS, OVERDUE_CHECK_INTERVAL_MILLIS,
@@ -135,6 +138,9 @@
 			this.failureShare = 0;
 			this.actualTarget = "";
 			this.connector.closeIdle();
+			if (this.targetEntry != null) {
+				this.condition.reset();
+			}
 		}
 		this.targetEntry = own.get();
 		this.slots = this.targetEntry.slots();
@@ -296,6 +302,10 @@
 		this.actualTarget = target;
 	}
 
+	TargetCondition condition() {
+		return this.condition;
+	}
+
 	HeaderNames headerNames() {
 		return this.context.names();
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -52,6 +52,17 @@
 	/** The target of this VM accepts requests again. */
 	TARGET_UP(10),
 
+	/**
+	 * The target of this VM names a limit on its requests, or another one than before.
+	 */
+	TARGET_LIMITED(5),
+
+	/** The target of this VM does not name a limit any more. */
+	TARGET_UNLIMITED(5),
+
+	/** The target of this VM states in an answer that it is about to stop. */
+	TARGET_STATED_LEAVING(5),
+
 	/** The source of documents does not respond. */
 	SOURCE_LOST(5),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -48,6 +48,8 @@
 
 	private final Counter calls = counter("calls_total", "Calls at this home by what became of them", "outcome");
 
+	private final Counter startedCalls = counter("started_calls_total", "Calls that this home started at the target");
+
 	private final Counter targetRequests = counter("target_requests_total",
 			"Requests that the target of this VM made while it ran others");
 
@@ -116,6 +118,7 @@
 
 	void callStarted(long waitedMillis) {
 		this.queueSeconds.observe(waitedMillis / MILLIS_PER_SECOND);
+		this.startedCalls.inc();
 	}
 
 	void callEnded(Outcome outcome) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -255,6 +255,8 @@
 				this.links.quarantine()::quarantinedCount);
 		metrics.registerGauge("target_failure_share", "Smoothed share of calls that the target failed",
 				() -> this.home.load().failurePercent() / 100.0);
+		metrics.registerGauge("target_limit_per_second", "Limit that the target of this VM names; 0 if it names none",
+				this.home.condition()::reportedLimitPerSecond);
 		metrics.registerGauge("config_age_seconds", "Time since the configuration in force was learned",
 				() -> ageSeconds(SourceChannel.CONFIG));
 		metrics.registerGauge("targets_age_seconds", "Time since the targets last changed",
--- /dev/null
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
@@ -0,0 +1,69 @@
+package org.eelgrasspitch.proxy;
+
+import java.net.InetSocketAddress;
+
+import org.eelgrasspitch.mesh.TargetStatement;
+import org.eelgrasspitch.mesh.TargetStatements;
+
+/**
+ * What the target of this VM has stated about itself since it was published, with a log
+ * line for each change.
+ */
+final class TargetCondition {
+
+	private final ProxyContext context;
+
+	private TargetStatements statements = new TargetStatements();
+
+	TargetCondition(ProxyContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Forgets all statements, because another target is published.
+	 */
+	void reset() {
+		this.statements = new TargetStatements();
+	}
+
+	/**
+	 * Records what the target states about itself in an answer.
+	 * @param statement the statement
+	 * @param sentAtMillis monotonic time at which the answered call got its slot, in
+	 * milliseconds
+	 */
+	void record(TargetStatement statement, long sentAtMillis) {
+		double formerLimit = this.statements.limitPerSecond();
+		boolean wasLeaving = this.statements.isLeaving();
+		this.statements.record(statement, sentAtMillis, this.context.now());
+		if (this.statements.limitPerSecond() != formerLimit) {
+			logLimit();
+		}
+		if (this.statements.isLeaving() && !wasLeaving) {
+			this.context.log().logNodeEvent(LogEvent.TARGET_STATED_LEAVING, "address", address());
+		}
+	}
+
+	/**
+	 * Returns the limit that the target names.
+	 * @return requests per second from all nodes together; 0 if it names none
+	 */
+	double reportedLimitPerSecond() {
+		return this.statements.isLimited() ? this.statements.limitPerSecond() : 0;
+	}
+
+	private void logLimit() {
+		if (this.statements.isLimited()) {
+			this.context.log()
+				.logNodeEvent(LogEvent.TARGET_LIMITED, "address", address(), "per_second",
+						this.statements.limitPerSecond());
+			return;
+		}
+		this.context.log().logNodeEvent(LogEvent.TARGET_UNLIMITED, "address", address());
+	}
+
+	private InetSocketAddress address() {
+		return this.context.settings().targetAddress();
+	}
+
+}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -286,6 +286,9 @@
 			if (status == MISDIRECTED_REQUEST_STATUS) {
 				this.home.recordActualTarget(response.headers().get(names.target(), ""));
 			}
+			else {
+				recordStatement(response, false);
+			}
 			this.refusal = (status == MISDIRECTED_REQUEST_STATUS) ? FailureReason.WRONG_TARGET
 					: FailureReason.TARGET_REFUSED;
 			return;
@@ -296,6 +299,7 @@
 			return;
 		}
 		this.responseStarted = true;
+		recordStatement(response, true);
 		ReplyHead reply = new ReplyHead(status, Headers.forwarded(response.headers(), Set.of()),
 				Headers.bodyLength(response, CallHead.CHUNKED), (int) (this.home.now() - this.call.claimedAtMillis()),
 				this.home.load());
@@ -303,6 +307,13 @@
 		this.call.replied(reply);
 	}
 
+	private void recordStatement(HttpResponse response, boolean served) {
+		HeaderNames names = this.home.headerNames();
+		this.home.condition()
+			.record(StatementReader.read(response.headers().get(names.targetLimit()),
+					response.headers().get(names.targetLeaving()), served), this.call.claimedAtMillis());
+	}
+
 	private void handleContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
@@ -28,7 +28,7 @@
 public class HomeServiceTests {
 
 	private static final HeaderNames NAMES = new HeaderNames("Id", "Left", "Signature", "Expected", "Not-Run",
-			"Caller-Service", "Target", "/ready");
+			"Caller-Service", "Target", "Limit", "Leaving", "/ready");
 
 	/** Slots that a home assumes until its target's entry is published. */
 	private static final int SLOTS = 4;
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/OperationsPageTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/OperationsPageTests.java
@@ -34,8 +34,8 @@
 		ProxyMetrics metrics = new ProxyMetrics();
 		Set<String> gauges = Set.of("config_version", "targets", "links", "link_waiting_bytes", "source_reading",
 				"active_requests", "running_calls", "waiting_calls", "crash_suspects", "quarantined_requests",
-				"target_failure_share", "config_age_seconds", "targets_age_seconds", "source_lost", "log_sample_level",
-				"log_lines_dropped");
+				"target_failure_share", "target_limit_per_second", "config_age_seconds", "targets_age_seconds",
+				"source_lost", "log_sample_level", "log_lines_dropped");
 		gauges.forEach((name) -> metrics.registerGauge(name, name, () -> 0));
 		Assert.assertEquals(rows("(eelgrasspitch_[a-z_]+)", "## Metrics", "## Settings"),
 				new TreeSet<>(metrics.names()));
