Send nothing new to a target that states that it is leaving

Cause: only the published entry of a target made nodes leave it. A target says so in all its answers, earlier and also while the store is away. Change: the home drains a target that says so (TargetCondition, DrainTimer) and tells its peers at once; entry nodes remember it by start of the target, so that neither a restart of the home nor an entry that is published again brings it back into use. Why it works: the home is the only sender, and stops a second after the statement has passed it; a home that starts again gets nothing from the entry nodes that have passed on the statement.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -259,7 +259,7 @@
 		return this.state.directory()
 			.targetsOf(service)
 			.stream()
-			.anyMatch((target) -> !target.draining() && !isOwnTarget(target) && this.links.isLinkExpected(target));
+			.anyMatch((target) -> !isLeaving(target) && !isOwnTarget(target) && this.links.isLinkExpected(target));
 	}
 
 	/**
@@ -397,6 +397,16 @@
 		return until != null && this.context.now() < until;
 	}
 
+	/**
+	 * Returns whether a target is about to stop, by its entry or by an answer that this
+	 * node has passed on.
+	 * @param target the target
+	 * @return true if it must get no new requests
+	 */
+	private boolean isLeaving(TargetEntry target) {
+		return target.draining() || this.statements.isLeaving(target);
+	}
+
 	private boolean isOwnTarget(TargetEntry target) {
 		return target.address().equals(this.context.settings().targetAddress());
 	}
@@ -404,7 +414,7 @@
 	private List<Candidate> candidates(String route, String service, Set<String> tried) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (TargetEntry target : this.state.directory().targetsOf(service)) {
-			if (!target.draining() && !tried.contains(target.id()) && !isDisplaced(target.id())) {
+			if (!isLeaving(target) && !tried.contains(target.id()) && !isDisplaced(target.id())) {
 				toCandidate(target, route).ifPresent(candidates::add);
 			}
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -79,8 +79,6 @@
 	/** Whether this node is about to stop. */
 	private boolean leaving;
 
-	private final DrainTimer drainTimer;
-
 	/** Moving average of the share of failed calls, 0 to 1, since the target's start. */
 	private double failureShare;
 
@@ -101,8 +99,8 @@
 		this.context = context;
 		this.connector = new TargetConnector(context, this);
 		this.quarantine = quarantine;
-		this.condition = new TargetCondition(context, (limit) -> this.queue.setLimit(limit, now()));
-		this.drainTimer = new DrainTimer(context.loop(), this::refuseWaiting);
+		this.condition = new TargetCondition(context, (limit) -> this.queue.setLimit(limit, now()), this::stateChanged,
+				this::refuseWaiting);
 		context.loop()
 			.scheduleAtFixedRate(this::failOverdue, OVERDUE_CHECK_INTERVAL_MILLIS, OVERDUE_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -127,25 +125,31 @@
 	void updateDirectory(TargetDirectory directory) {
 		Optional<TargetEntry> own = directory.findByAddress(this.context.settings().service(),
 				this.context.settings().targetAddress());
+		own.filter(this::isOtherStart).ifPresent((published) -> targetReplaced());
 		if (own.isPresent() || this.targetEntry != null) {
-			this.drainTimer.updateAvailability(own.filter((published) -> !published.draining()).isPresent());
+			this.condition.updateAvailability(own.filter((published) -> !published.draining()).isPresent());
 		}
 		if (own.isEmpty()) {
 			return;
 		}
-		if (this.targetEntry == null || !this.targetEntry.id().equals(own.get().id())
-				|| this.targetEntry.startUnixMillis() != own.get().startUnixMillis()) {
-			this.failureShare = 0;
-			this.actualTarget = "";
-			this.connector.closeIdle();
-			if (this.targetEntry != null) {
-				this.condition.reset();
-			}
-		}
 		this.targetEntry = own.get();
 		this.slots = this.targetEntry.slots();
 	}
 
+	private boolean isOtherStart(TargetEntry published) {
+		return this.targetEntry == null || !this.targetEntry.id().equals(published.id())
+				|| this.targetEntry.startUnixMillis() != published.startUnixMillis();
+	}
+
+	private void targetReplaced() {
+		this.failureShare = 0;
+		this.actualTarget = "";
+		this.connector.closeIdle();
+		if (this.targetEntry != null) {
+			this.condition.reset();
+		}
+	}
+
 	/**
 	 * Refuses the waiting calls of a leaving target; other targets can serve them.
 	 */
@@ -204,7 +208,7 @@
 			this.condition.adoptLimit(head.targetLimitPerSecond());
 		}
 		HomeCall call = new HomeCall(this, head, listener, new CallLog(this.context.log(), head, entryVm), now());
-		if (this.leaving || this.drainTimer.isExpired()) {
+		if (this.leaving || this.condition.isDrained()) {
 			refuse(call, FailureReason.LEAVING, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			return call;
 		}
@@ -353,7 +357,7 @@
 	}
 
 	private TargetLoad.State state() {
-		if (this.leaving || this.drainTimer.isExpired()) {
+		if (this.leaving || this.condition.isLeaving()) {
 			return TargetLoad.State.LEAVING;
 		}
 		return this.connector.isDown() ? TargetLoad.State.DOWN : TargetLoad.State.UP;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/NodeStateReporter.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/NodeStateReporter.java
@@ -65,6 +65,9 @@
 		if (target.draining()) {
 			return target(target, "leaving", "it says so in its entry", load, ageMillis);
 		}
+		if (this.entry.statements().isLeaving(target)) {
+			return target(target, "leaving", "it says so in its answers", load, ageMillis);
+		}
 		if (this.entry.isDisplaced(target.id())) {
 			return target(target, "displaced", "another target answered at its address", load, ageMillis);
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
@@ -7,8 +7,12 @@
 import org.eelgrasspitch.mesh.TargetStatements;
 
 /**
- * What the target of this VM has stated about itself since it was published, with a log
- * line for each change.
+ * Whether and how fast requests may be sent to the target of this VM, according to its
+ * published entry and to what it has stated about itself in its answers.
+ * <p>
+ * A target that is published as draining, is not published any more or states that it is
+ * leaving is drained by {@link DrainTimer}. The published entry of a target that leaves
+ * may lag behind its answers, so the statement holds until another start is published.
  */
 final class TargetCondition {
 
@@ -17,11 +21,26 @@
 	/** Told each new limit, in requests per second. */
 	private final DoubleConsumer limitListener;
 
+	/** Run when the target has stated that it is leaving. */
+	private final Runnable leavingListener;
+
+	private final DrainTimer drainTimer;
+
 	private TargetStatements statements = new TargetStatements();
 
-	TargetCondition(ProxyContext context, DoubleConsumer limitListener) {
+	/**
+	 * Creates the condition of a target that has stated nothing.
+	 * @param context shared dependencies
+	 * @param limitListener told each new limit, in requests per second
+	 * @param leavingListener run when the target has stated that it is leaving
+	 * @param drainedAction run when no more requests may be sent to the target
+	 */
+	TargetCondition(ProxyContext context, DoubleConsumer limitListener, Runnable leavingListener,
+			Runnable drainedAction) {
 		this.context = context;
 		this.limitListener = limitListener;
+		this.leavingListener = leavingListener;
+		this.drainTimer = new DrainTimer(context.loop(), drainedAction);
 	}
 
 	/**
@@ -45,9 +64,35 @@
 		reportLimitChange(formerLimit, "answer");
 		if (this.statements.isLeaving() && !wasLeaving) {
 			this.context.log().logNodeEvent(LogEvent.TARGET_STATED_LEAVING, "address", address());
+			this.drainTimer.updateAvailability(false);
+			this.leavingListener.run();
 		}
 	}
 
+	/**
+	 * Updates the condition with the published state of the target.
+	 * @param available whether the target is published and not draining
+	 */
+	void updateAvailability(boolean available) {
+		this.drainTimer.updateAvailability(available && !this.statements.isLeaving());
+	}
+
+	/**
+	 * Returns whether no more requests may be sent to the target.
+	 * @return true from {@link DrainTimer}'s expiry
+	 */
+	boolean isDrained() {
+		return this.drainTimer.isExpired();
+	}
+
+	/**
+	 * Returns whether entry nodes must choose other targets.
+	 * @return true if the target is drained or has stated that it is leaving
+	 */
+	boolean isLeaving() {
+		return isDrained() || this.statements.isLeaving();
+	}
+
 	/**
 	 * Adopts a limit that an entry node knows. This node may have started after the
 	 * target named it.
