Read the statements of targets in one place for both data planes

Cause: the node daemon will read the same statements; the parser of the limit stood in the proxy. Change: TargetStatement.of in core; StatementReader keeps the names of the fields. Measured: TargetStatementsTests, StatementReaderTests, StartPacerTests and HomeServiceTests pass.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetStatement.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetStatement.java
@@ -13,4 +13,32 @@
  */
 public record TargetStatement(OptionalDouble limitPerSecond, boolean leaving, boolean complete) {
 
+	/**
+	 * Reads a statement from the header fields of an answer.
+	 * @param limit value of the field that names a limit, a decimal number; null if it is
+	 * absent. A value that is not a number of 0 or more is ignored and ends no earlier
+	 * limit
+	 * @param leaving whether the answer says that the target is about to stop
+	 * @param served whether the target served the request; the absence of a limit from
+	 * another answer means nothing
+	 * @return the statement
+	 */
+	public static TargetStatement of(String limit, boolean leaving, boolean served) {
+		return new TargetStatement(parseLimit(limit), leaving, served && limit == null);
+	}
+
+	private static OptionalDouble parseLimit(String text) {
+		if (text == null) {
+			return OptionalDouble.empty();
+		}
+		try {
+			double limit = Double.parseDouble(text);
+			return (limit >= 0 && Double.isFinite(limit)) ? OptionalDouble.of(limit) : OptionalDouble.empty();
+		}
+		catch (NumberFormatException ex) {
+			// The statement is incomplete, so that an earlier limit stays in force.
+			return OptionalDouble.empty();
+		}
+	}
+
 }
--- a/core/src/test/java/org/eelgrasspitch/mesh/TargetStatementsTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/TargetStatementsTests.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -76,6 +77,31 @@
 		Assert.assertTrue(known.isLeaving(target(5_000)));
 	}
 
+	@DataProvider
+	public Object[][] malformedLimits() {
+		return new Object[][] { { "" }, { "many" }, { "-1" }, { "NaN" }, { "Infinity" }, { "1e999" }, { "5, 7" } };
+	}
+
+	@Test(dataProvider = "malformedLimits")
+	public void malformedLimitIsIgnoredAndEndsNone(String value) {
+		TargetStatement statement = TargetStatement.of(value, false, true);
+		Assert.assertEquals(statement.limitPerSecond(), OptionalDouble.empty());
+		Assert.assertFalse(statement.complete());
+	}
+
+	@Test
+	public void decimalNumbersAreLimits() {
+		Assert.assertEquals(TargetStatement.of("37.3", false, true).limitPerSecond(), OptionalDouble.of(37.3));
+		Assert.assertEquals(TargetStatement.of(" 12 ", false, false).limitPerSecond(), OptionalDouble.of(12));
+		Assert.assertEquals(TargetStatement.of("0", false, true).limitPerSecond(), OptionalDouble.of(0));
+	}
+
+	@Test
+	public void onlyServedAnswersShowThatThereIsNoLimit() {
+		Assert.assertTrue(TargetStatement.of(null, false, true).complete());
+		Assert.assertFalse(TargetStatement.of(null, false, false).complete());
+	}
+
 	private static TargetStatement limit(double perSecond) {
 		return new TargetStatement(OptionalDouble.of(perSecond), false, false);
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -17,6 +17,7 @@
 import org.eelgrasspitch.mesh.Placement;
 import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.TargetEntry;
+import org.eelgrasspitch.mesh.TargetStatement;
 import org.eelgrasspitch.misc.Digest;
 
 /**
@@ -293,11 +294,9 @@
 	 * @param head the head
 	 */
 	void recordStatement(Attempt attempt, ReplyHead head) {
-		HeaderNames names = this.context.names();
-		this.statements.record(attempt.target(),
-				StatementReader.read(Headers.find(head.headers(), names.targetLimit()).orElse(null),
-						Headers.find(head.headers(), names.targetLeaving()).orElse(null), true),
-				attempt.sentAtMillis(), this.context.now());
+		StatementReader reader = new StatementReader(this.context.names());
+		TargetStatement statement = reader.read((name) -> Headers.find(head.headers(), name).orElse(null), true);
+		this.statements.record(attempt.target(), statement, attempt.sentAtMillis(), this.context.now());
 	}
 
 	KnownStatements statements() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -308,10 +308,8 @@
 	}
 
 	private void recordStatement(HttpResponse response, boolean served) {
-		HeaderNames names = this.home.headerNames();
-		this.home.condition()
-			.record(StatementReader.read(response.headers().get(names.targetLimit()),
-					response.headers().get(names.targetLeaving()), served), this.call.claimedAtMillis());
+		StatementReader reader = new StatementReader(this.home.headerNames());
+		this.home.condition().record(reader.read(response.headers()::get, served), this.call.claimedAtMillis());
 	}
 
 	private void handleContent(HttpContent content) {
