Act on the limit and the leaving that a target states in the node daemon as well

Cause: the node daemon read what a target says of itself from refusals and from the health endpoint only, and forgot a refusal at once. A target that serves while it leaves, or that is in need, was not heard.

--- a/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 
+import org.eelgrasspitch.mesh.StartPacer;
 import org.eelgrasspitch.text.Priority;
 
 /**
@@ -13,7 +14,9 @@
  * load when the queue is full.
  * <p>
  * Work is started on arrival if fewer than {@code slots} entries run, even if others
- * wait. Other work waits in a queue ordered by descending priority, then by deadline,
+ * wait. A target that has named a limit is also paced by {@link StartPacer}; then work
+ * that waits goes first, and what the limit would delay beyond its deadline is shed at
+ * once. Other work waits in a queue ordered by descending priority, then by deadline,
  * then by arrival. A waiting entry whose deadline has passed is never started. When the
  * queue exceeds its capacity, the entry that is last in this order is shed, which may be
  * the new one. Only waiting entries are shed, so a shed entry has not run.
@@ -32,11 +35,23 @@
 				.thenComparingLong(Entry::deadlineAt)
 				.thenComparingLong(Entry::sequence));
 
+	private final StartPacer pacer = new StartPacer();
+
 	/** Number of running entries. */
 	private int running;
 
 	private long nextSequence;
 
+	/**
+	 * Sets the limit that the target has named.
+	 * @param perSecond requests per second;
+	 * {@link org.eelgrasspitch.mesh.TargetStatements#NO_LIMIT} for none
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void setLimit(double perSecond, long now) {
+		this.pacer.setLimit(perSecond, now);
+	}
+
 	/**
 	 * Starts, queues or sheds new work.
 	 * @param work the work
@@ -44,16 +59,18 @@
 	 * @param deadlineAt its deadline, in monotonic milliseconds
 	 * @param slots maximum number of running entries
 	 * @param capacity maximum number of waiting entries
+	 * @param now current monotonic time in milliseconds
 	 * @return whether the work was started or queued, or which work was shed
 	 */
-	public Admission<T> offer(T work, Priority priority, long deadlineAt, int slots, int capacity) {
-		if (this.running < slots) {
-			this.running++;
+	public Admission<T> offer(T work, Priority priority, long deadlineAt, int slots, int capacity, long now) {
+		boolean first = !this.pacer.isLimited() || this.waiting.isEmpty();
+		if (this.running < slots && first && this.pacer.permits(now) > 0) {
+			recordStart(now);
 			return new Admission.Started<>();
 		}
 		Entry<T> entry = new Entry<>(work, priority, deadlineAt, this.nextSequence++);
 		this.waiting.add(entry);
-		if (this.waiting.size() <= capacity) {
+		if (this.waiting.size() <= capacity && lastStartsInTime(now)) {
 			return new Admission.Queued<>();
 		}
 		Entry<T> last = this.waiting.pollLast();
@@ -63,19 +80,35 @@
 
 	/**
 	 * Frees the slot of a running entry and hands it to the next waiting entry whose
-	 * deadline has not passed, whatever number of slots was given to the last
-	 * {@link #offer}.
+	 * deadline has not passed, if the limit permits a start, and whatever number of slots
+	 * was given to the last {@link #offer}.
 	 * @param now current monotonic time in milliseconds
 	 * @return the work to start, if any, and the work removed because its deadline had
 	 * passed
 	 */
 	public Release<T> release(long now) {
 		this.running--;
+		return startNext(now);
+	}
+
+	/**
+	 * Starts the next waiting entry if a slot is free; called repeatedly while a limit
+	 * may have kept slots free.
+	 * @param slots maximum number of running entries
+	 * @param now current monotonic time in milliseconds
+	 * @return the work to start, if any, and the work removed because its deadline had
+	 * passed
+	 */
+	public Release<T> startDelayed(int slots, long now) {
+		return (this.running < slots) ? startNext(now) : new Release<>(Optional.empty(), List.of());
+	}
+
+	private Release<T> startNext(long now) {
 		List<T> expired = new ArrayList<>();
-		while (!this.waiting.isEmpty()) {
+		while (!this.waiting.isEmpty() && this.pacer.permits(now) > 0) {
 			Entry<T> next = this.waiting.pollFirst();
 			if (next.deadlineAt() > now) {
-				this.running++;
+				recordStart(now);
 				return new Release<>(Optional.of(next.work()), expired);
 			}
 			expired.add(next.work());
@@ -83,6 +116,20 @@
 		return new Release<>(Optional.empty(), expired);
 	}
 
+	/**
+	 * Returns whether the limit permits the last waiting entry to start before its
+	 * deadline.
+	 */
+	private boolean lastStartsInTime(long now) {
+		return !this.pacer.isLimited()
+				|| now + this.pacer.delayMillis(this.waiting.size() - 1, now) < this.waiting.last().deadlineAt();
+	}
+
+	private void recordStart(long now) {
+		this.running++;
+		this.pacer.recordStarts(1, now);
+	}
+
 	/**
 	 * Removes waiting work from the queue.
 	 * @param work the work
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -6,13 +6,17 @@
 import java.util.random.RandomGenerator;
 
 import okhttp3.Call;
+import org.eelgrasspitch.mesh.TargetStatement;
+import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.node.EventLog.Field;
 import org.eelgrasspitch.request.AdmissionQueue;
 import org.eelgrasspitch.request.CallMessage;
 import org.eelgrasspitch.request.CallOutcome;
 import org.eelgrasspitch.request.ConcurrencyLimit;
 import org.eelgrasspitch.request.Quarantine;
 import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.request.TargetSelector;
 import org.eelgrasspitch.request.Ticket;
 import org.eelgrasspitch.text.OperationKind;
 import org.eelgrasspitch.text.Priority;
@@ -58,9 +62,18 @@
 	/** Requests that crash targets; guarded by its own lock. */
 	private final Quarantine<String> quarantine = new Quarantine<>();
 
-	/** True while the target reports that it is draining. */
+	/** What the target has stated in its answers; guarded by this object's lock. */
+	private final TargetStatements statements = new TargetStatements();
+
+	/** True while the target's health endpoint reports that it is draining. */
 	private volatile boolean targetLeaving;
 
+	/**
+	 * Monotonic time in milliseconds until which the target counts as leaving because of
+	 * its last answer that said so.
+	 */
+	private volatile long statedLeavingUntil = Long.MIN_VALUE;
+
 	HomeService(NodeContext context, TargetClient target, DeathReporter deathReporter, RandomGenerator random) {
 		this.context = context;
 		this.target = target;
@@ -181,8 +194,40 @@
 		this.targetLeaving = leaving;
 	}
 
+	/**
+	 * Starts the requests that the target's limit has delayed and permits now.
+	 */
+	void startDelayed() {
+		AdmissionQueue.Release<PendingRequest> release;
+		do {
+			synchronized (this) {
+				release = (this.queue.waiting() > 0) ? this.queue.startDelayed(targetLimit(), now())
+						: new AdmissionQueue.Release<>(Optional.empty(), List.of());
+			}
+			perform(release);
+		}
+		while (release.next().isPresent());
+	}
+
+	private void recordStatement(TargetStatement statement, long sentAt) {
+		if (statement.leaving()) {
+			this.statedLeavingUntil = now() + TargetSelector.LEAVING_EJECTION_MILLIS;
+		}
+		synchronized (this) {
+			double former = this.statements.limitPerSecond();
+			this.statements.record(statement, sentAt, now());
+			if (this.statements.limitPerSecond() == former) {
+				return;
+			}
+			this.queue.setLimit(this.statements.limitPerSecond(), now());
+		}
+		this.context.log()
+			.info("target_limit_changed", Field.of("per_second",
+					statement.limitPerSecond().isPresent() ? statement.limitPerSecond().getAsDouble() : "none"));
+	}
+
 	private boolean isLeaving() {
-		return this.targetLeaving || this.context.state().lifecycle().isLeaving();
+		return this.targetLeaving || now() < this.statedLeavingUntil || this.context.state().lifecycle().isLeaving();
 	}
 
 	private boolean isQuarantined(CallMessage.Request request) {
@@ -212,9 +257,10 @@
 	private synchronized AdmissionQueue.Admission<PendingRequest> offer(PendingRequest pending, int slots) {
 		return switch (this.context.settings().guards()) {
 			case ALL -> this.queue.offer(pending, pending.route.operation().priority(), pending.deadlineAt,
-					this.concurrencyLimit.limit(slots), MAX_QUEUED_PER_SLOT * slots);
+					this.concurrencyLimit.limit(slots), MAX_QUEUED_PER_SLOT * slots, now());
 			// One priority for all requests, so the queue is ordered by deadline only.
-			case NONE -> this.queue.offer(pending, Priority.values()[0], pending.deadlineAt, slots, Integer.MAX_VALUE);
+			case NONE ->
+				this.queue.offer(pending, Priority.values()[0], pending.deadlineAt, slots, Integer.MAX_VALUE, now());
 		};
 	}
 
@@ -229,7 +275,9 @@
 			complete(pending, refusal(Reason.DEADLINE_PASSED));
 			return;
 		}
-		pending.call = this.target.send(pending.request, remaining, (outcome) -> targetCallEnded(pending, outcome));
+		long sentAt = now();
+		pending.call = this.target.send(pending.request, remaining, (statement) -> recordStatement(statement, sentAt),
+				(outcome) -> targetCallEnded(pending, outcome));
 	}
 
 	private void targetCallEnded(PendingRequest pending, CallOutcome outcome) {
@@ -265,6 +313,10 @@
 		synchronized (this) {
 			release = this.queue.release(now());
 		}
+		perform(release);
+	}
+
+	private void perform(AdmissionQueue.Release<PendingRequest> release) {
 		release.expired().forEach((expired) -> complete(expired, refusal(Reason.DEADLINE_PASSED)));
 		release.next().ifPresent(this::dispatch);
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -34,6 +34,9 @@
 
 	private static final long PROBE_INTERVAL_MILLIS = 1_000;
 
+	/** Interval at which requests that the target's limit delays are started. */
+	private static final long PACING_INTERVAL_MILLIS = 20;
+
 	/**
 	 * System property; {@code false} disables the shutdown hook of the HTTP library,
 	 * which would close connections on a termination signal while their requests are
@@ -88,7 +91,7 @@
 			.register(new PlatformClient(settings, this.context.metrics(), this.control::post));
 		this.control.start(transport, platform);
 		this.closer.register(this.control);
-		startProbing(target);
+		startTargetTimers(target);
 		startHttpServer(CallerHttpApi.create(this.entry), settings.callerAddress());
 		startHttpServer(OperatorHttpApi.create(this.context, this.control, this.home, this.entry),
 				settings.operatorAddress());
@@ -170,7 +173,7 @@
 		}
 	}
 
-	private void startProbing(TargetClient target) {
+	private void startTargetTimers(TargetClient target) {
 		ScheduledExecutorService prober = Executors.newSingleThreadScheduledExecutor((task) -> {
 			Thread thread = new Thread(task, "prober");
 			thread.setDaemon(true);
@@ -179,6 +182,8 @@
 		this.closer.register(prober::shutdownNow);
 		prober.scheduleAtFixedRate(() -> target.probe(this.home::setTargetLeaving), PROBE_INTERVAL_MILLIS,
 				PROBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		prober.scheduleAtFixedRate(this.home::startDelayed, PACING_INTERVAL_MILLIS, PACING_INTERVAL_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	private void startHttpServer(Jooby app, InetSocketAddress address) {
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -24,6 +24,7 @@
 import okhttp3.Response;
 import okio.BufferedSink;
 import okio.BufferedSource;
+import org.eelgrasspitch.mesh.TargetStatement;
 import org.eelgrasspitch.request.CallMessage;
 import org.eelgrasspitch.request.CallOutcome;
 import org.eelgrasspitch.request.Header;
@@ -87,10 +88,13 @@
 	 * @param request the request
 	 * @param timeoutMillis maximum time until the complete response has arrived, in
 	 * milliseconds
+	 * @param statements receives what the target states about itself, before the outcome;
+	 * not called without a response
 	 * @param callback receives the outcome exactly once
 	 * @return the call, which can be cancelled
 	 */
-	Call send(CallMessage.Request request, long timeoutMillis, Consumer<CallOutcome> callback) {
+	Call send(CallMessage.Request request, long timeoutMillis, Consumer<TargetStatement> statements,
+			Consumer<CallOutcome> callback) {
 		Request.Builder builder = new Request.Builder().url(url(request.route().operation()))
 			.post(new OneShotBody(request.body()));
 		request.headers().forEach((header) -> builder.header(header.name(), header.value()));
@@ -99,7 +103,7 @@
 			.header("Config-Version", Long.toString(request.revision()));
 		Call call = this.client.newCall(builder.build());
 		call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-		call.enqueue(new ResponseHandler(callback));
+		call.enqueue(new ResponseHandler(statements, callback));
 		return call;
 	}
 
@@ -148,9 +152,11 @@
 	/**
 	 * Converts the result of a call into an outcome.
 	 *
+	 * @param statements receives what the target states about itself
 	 * @param callback receives the outcome
 	 */
-	private record ResponseHandler(Consumer<CallOutcome> callback) implements Callback {
+	private record ResponseHandler(Consumer<TargetStatement> statements,
+			Consumer<CallOutcome> callback) implements Callback {
 
 		@Override
 		public void onFailure(Call call, IOException cause) {
@@ -165,6 +171,8 @@
 		@Override
 		public void onResponse(Call call, Response response) {
 			CallOutcome outcome;
+			this.statements
+				.accept(TargetStatement.of(response.header("Target-Limit"), isLeaving(response), !isRefusal(response)));
 			try (response) {
 				outcome = outcome(response);
 			}
@@ -174,10 +182,17 @@
 			this.callback.accept(outcome);
 		}
 
+		private static boolean isRefusal(Response response) {
+			return response.code() == SERVICE_UNAVAILABLE && "no".equals(response.header("Request-Ran"));
+		}
+
+		private static boolean isLeaving(Response response) {
+			return "leaving".equals(response.header("Target-State"));
+		}
+
 		private static CallOutcome outcome(Response response) throws IOException {
-			if (response.code() == SERVICE_UNAVAILABLE && "no".equals(response.header("Request-Ran"))) {
-				boolean leaving = "leaving".equals(response.header("Target-State"));
-				return new CallOutcome.NotRun(leaving ? Reason.LEAVING : Reason.TARGET_REFUSED, 0);
+			if (isRefusal(response)) {
+				return new CallOutcome.NotRun(isLeaving(response) ? Reason.LEAVING : Reason.TARGET_REFUSED, 0);
 			}
 			BufferedSource source = response.body().source();
 			if (source.request(WireLimits.MAX_BODY_BYTES + 1L)) {
--- a/node/src/test/java/org/eelgrasspitch/node/TargetClientTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/TargetClientTests.java
@@ -88,7 +88,8 @@
 		CompletableFuture<CallOutcome> outcome = new CompletableFuture<>();
 		CallMessage.Request request = new CallMessage.Request(1, "q1", new RouteKey("desk", "read"), TIMEOUT_MILLIS,
 				Optional.empty(), Optional.empty(), List.of(), new byte[0], 1);
-		this.client.send(request, TIMEOUT_MILLIS, outcome::complete);
+		this.client.send(request, TIMEOUT_MILLIS, (statement) -> {
+		}, outcome::complete);
 		CallOutcome ended = outcome.get(MAX_MILLIS, TimeUnit.MILLISECONDS);
 		boolean refusal = first.contains("Request-Ran");
 		Assert.assertEquals(ended instanceof CallOutcome.NotRun, refusal, ended.toString());
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LoadSteps.java
@@ -195,6 +195,19 @@
 		Assert.assertEquals(this.world.target(vm).receivedWhileDraining() - before, 0, "requests at a leaving target");
 	}
 
+	@When("the target of {word} states {string} as {string}")
+	public void state(String vm, String field, String value) {
+		this.world.target(vm).state(Map.of(field, value));
+	}
+
+	@Then("the target of {word} gets at least {int} and at most {int} requests within {int} seconds")
+	public void getsBetween(String vm, int least, int most, int seconds) {
+		int before = this.world.target(vm).received();
+		Cluster.sleep(seconds * MILLIS_PER_SECOND);
+		int received = this.world.target(vm).received() - before;
+		Assert.assertTrue(received >= least && received <= most, "requests: " + received);
+	}
+
 	@Given("the target of {word} breaks off every answer but says it is healthy")
 	public void breakTarget(String vm) {
 		this.world.target(vm).close();
--- a/scenarios/src/test/resources/features/requests.feature
+++ b/scenarios/src/test/resources/features/requests.feature
@@ -34,6 +34,30 @@
     Then every answered payment ran, and no refused request did
     And every answer belonged to its own request and was whole
 
+  # Guards against nodes that send a target more than the limit it names.
+  Scenario: A target gets no more from all nodes together than the limit that it names
+    Given a mesh of 6 nodes in 3 failure domains
+    And callers look up and pay all the time
+    And 2 seconds pass
+    When the target of vm-001 states "Target-Limit" as "10"
+    And 3 seconds pass
+    Then the target of vm-001 gets at least 20 and at most 65 requests within 4 seconds
+    And the target of vm-001 gets at least 20 and at most 65 requests within 4 seconds
+    When the callers stop
+    Then every answered payment ran, and no refused request did
+
+  # Guards against requests for a target that says in its answers that it is leaving, and serves them.
+  Scenario: A target that says it is leaving gets no new work, though its health endpoint says nothing
+    Given a mesh of 6 nodes in 3 failure domains
+    And callers look up and pay all the time
+    And 2 seconds pass
+    When the target of vm-001 states "Target-State" as "leaving"
+    And 2 seconds pass
+    Then the target of vm-001 gets at least 0 and at most 0 requests within 4 seconds
+    When the callers stop
+    Then every answered payment ran, and no refused request did
+    And every answer belonged to its own request and was whole
+
   Scenario: A target that lies about its health is avoided, and half an answer is never passed on
     Given a mesh of 6 nodes in 3 failure domains
     And the target of vm-002 breaks off every answer but says it is healthy
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -60,6 +60,12 @@
 	/** Requests received after draining began, whether started or not. */
 	private final AtomicInteger receivedWhileDraining = new AtomicInteger();
 
+	/** Requests received, whether started or not. */
+	private final AtomicInteger received = new AtomicInteger();
+
+	/** Header fields that all responses to requests carry, by name. */
+	private volatile Map<String, String> statements = Map.of();
+
 	/** Number of starts by request identifier; guarded by its own monitor. */
 	private final Map<String, Integer> executions;
 
@@ -145,6 +151,22 @@
 		this.downstream = call;
 	}
 
+	/**
+	 * Sets the header fields that all further responses to requests carry.
+	 * @param fields the values by name; may be empty
+	 */
+	public void state(Map<String, String> fields) {
+		this.statements = Map.copyOf(fields);
+	}
+
+	/**
+	 * Returns how many requests arrived, whether started or not.
+	 * @return the number since the start
+	 */
+	public int received() {
+		return this.received.get();
+	}
+
 	/**
 	 * Returns how many requests arrived while the target was draining.
 	 * @return the number since the start
@@ -172,6 +194,8 @@
 
 	private Object run(Context context) throws Exception {
 		String id = context.header("Request-Id").value("");
+		this.received.incrementAndGet();
+		this.statements.forEach(context::setResponseHeader);
 		if (this.draining) {
 			this.receivedWhileDraining.incrementAndGet();
 			context.setResponseHeader("Target-State", "leaving");
