Estimate the wait at a limited target with the limit that follows the settling

Callers saw: nothing yet; found by reading. Just before the end of the settling a request that could start in 0.4 s was given a wait of 2 s, so it could be refused although it would have been served in time. Cause: the wait was computed with the reduced rate also for the time after it. Change: StartPacer.delayMillis uses the reduced rate until the end of the settling and the limit after that. Measured: the new test in StartPacerTests got 2000 ms before the change, 400 ms are right; it passes, TargetQueueTests and AdmissionQueueTests pass.

--- a/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
@@ -140,7 +140,13 @@
 			return 0;
 		}
 		accrue(now);
-		return Math.max(0, (ahead + 1 - this.permits) * MILLIS_PER_SECOND / ratePerSecond(now));
+		double missing = Math.max(0, ahead + 1 - this.permits);
+		double settlingMillis = Math.max(0, this.limitedSinceMillis + SETTLE_MILLIS - now);
+		double whileSettling = settlingMillis * ratePerSecond(now) / MILLIS_PER_SECOND;
+		if (missing <= whileSettling) {
+			return missing * MILLIS_PER_SECOND / ratePerSecond(now);
+		}
+		return settlingMillis + (missing - whileSettling) * MILLIS_PER_SECOND / this.limitPerSecond;
 	}
 
 	/**
--- a/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
@@ -106,6 +106,22 @@
 		Assert.assertTrue(refused.size() >= 17, "refused: " + refused);
 	}
 
+	@Test
+	public void delayCountsOnTheLimitFromTheEndOfSettling() {
+		StartPacer pacer = new StartPacer();
+		pacer.recordStarts(100, 9_900);
+		pacer.setLimit(20, 10_000);
+		long nearEnd = 10_000 + SETTLE_MILLIS - 200;
+		pacer.recordStarts(pacer.permits(nearEnd), nearEnd);
+		double delay = pacer.delayMillis(3, nearEnd);
+		Assert.assertTrue(delay <= 200 + 4 * 50, "delay: " + delay);
+		long now = nearEnd;
+		while (pacer.permits(now) < 4) {
+			now += 10;
+		}
+		Assert.assertEquals(now - nearEnd, delay, 20);
+	}
+
 	@Test
 	public void nestedCallsGetTheStartsOfALimitedTargetFirst() {
 		TargetQueue<String> queue = new TargetQueue<>();
