Take the settle and drain times of the deployment from its settings

Callers saw: nothing yet; found by comparing deployments: the large one states 4 s and 3 s, the pacer and the drain timer had the times of the small ones. With a settle time of 1.5 or 2 s the limit would have been passed. Cause: constants in the code for times that the platform states for each deployment. Change: settings drainSeconds and settleSeconds, filled in by the template; StartPacer makes up for what the settle time leaves of the span of 4 s; DrainTimer uses half of the drain time, at most the 1 s that it used before. Measured: StartPacerTests with settle times from 1.5 to 6 s, ProxySettingsParserTests pass.

--- a/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
@@ -12,11 +12,10 @@
  * each node would depend on how many nodes there are and which of them know.
  * <p>
  * Starts use up permits, which accrue at the limit and are kept for
- * {@link #BURST_MILLIS}. The rate before the limit was named is not forgotten: for
- * {@link #SETTLE_MILLIS} the rate is lowered as far as needed for the span from
- * {@link #PRIOR_MILLIS} before the naming to the end of that time to come out at
- * {@link #SETTLED_RATIO} of the limit. Some requests still start, because only answers
- * show whether the limit has changed.
+ * {@link #BURST_MILLIS}. The rate before the limit was named is not forgotten: until the
+ * limit must be kept, the rate is lowered as far as needed for the {@link #SPAN_MILLIS}
+ * up to that time to come out at {@link #SETTLED_RATIO} of the limit. Some requests still
+ * start, because only answers show whether the limit has changed.
  * <p>
  * Example: a target gets 100 requests per second and names a limit of 40. A plain token
  * bucket would allow 100 + 3 x 40 = 220 requests in the 4 s around the naming. The pacer
@@ -27,17 +26,11 @@
  */
 public final class StartPacer {
 
-	/**
-	 * Time after a limit is named within which earlier starts are made up for, in
-	 * milliseconds; the platform's settle window.
-	 */
-	private static final long SETTLE_MILLIS = 3_000;
+	/** Settle time where the deployment states none, in milliseconds. */
+	public static final long DEFAULT_SETTLE_MILLIS = 3_000;
 
-	/**
-	 * Time before a limit is named whose starts are made up for, in milliseconds; with
-	 * {@link #SETTLE_MILLIS} it gives the span in which the platform counts requests.
-	 */
-	private static final long PRIOR_MILLIS = 1_000;
+	/** Span in which the platform counts requests, in milliseconds. */
+	private static final long SPAN_MILLIS = 4_000;
 
 	/**
 	 * Starts in the span around the naming for each start that the limit allows in it.
@@ -57,7 +50,16 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	/** Monotonic times of the starts in the last {@link #PRIOR_MILLIS}. */
+	/** Time after a limit is named from which it must be kept, in milliseconds. */
+	private final long settleMillis;
+
+	/**
+	 * Time before a limit is named whose starts are made up for, in milliseconds; what
+	 * the settle time leaves of the span.
+	 */
+	private final long priorMillis;
+
+	/** Monotonic times of the starts in the last {@link #priorMillis}. */
 	private final Deque<Long> recentStarts = new ArrayDeque<>();
 
 	/** Limit in starts per second; infinite if there is none. */
@@ -66,7 +68,7 @@
 	/** Monotonic time at which the limit was named or last lowered, in milliseconds. */
 	private long limitedSinceMillis;
 
-	/** Starts since {@link #PRIOR_MILLIS} before {@link #limitedSinceMillis}. */
+	/** Starts since {@link #priorMillis} before {@link #limitedSinceMillis}. */
 	private int settlingStarts;
 
 	/** Permits as of {@link #permitsAtMillis}; meaningless without a limit. */
@@ -74,6 +76,16 @@
 
 	private long permitsAtMillis;
 
+	/**
+	 * Creates a pacer without a limit.
+	 * @param settleMillis time after a limit is named from which it must be kept, in
+	 * milliseconds
+	 */
+	public StartPacer(long settleMillis) {
+		this.settleMillis = settleMillis;
+		this.priorMillis = Math.max(0, SPAN_MILLIS - settleMillis);
+	}
+
 	/**
 	 * Sets the limit.
 	 * @param perSecond starts per second; {@link TargetStatements#NO_LIMIT} for none
@@ -86,12 +98,12 @@
 		if (!isLimited() || this.limitPerSecond >= former) {
 			return;
 		}
-		forgetBefore(now - PRIOR_MILLIS);
-		if (former == TargetStatements.NO_LIMIT || now >= this.limitedSinceMillis + SETTLE_MILLIS) {
+		forgetBefore(now - this.priorMillis);
+		if (former == TargetStatements.NO_LIMIT || now >= this.limitedSinceMillis + this.settleMillis) {
 			this.limitedSinceMillis = now;
 			this.settlingStarts = this.recentStarts.size();
 		}
-		double unused = this.limitPerSecond * PRIOR_MILLIS / MILLIS_PER_SECOND - this.recentStarts.size();
+		double unused = this.limitPerSecond * this.priorMillis / MILLIS_PER_SECOND - this.recentStarts.size();
 		this.permits = Math.clamp(unused, 0, maxPermits());
 		this.permitsAtMillis = now;
 	}
@@ -121,7 +133,7 @@
 	 */
 	public void recordStarts(int count, long now) {
 		accrue(now);
-		forgetBefore(now - PRIOR_MILLIS);
+		forgetBefore(now - this.priorMillis);
 		for (int i = 0; i < count; i++) {
 			this.recentStarts.add(now);
 		}
@@ -141,7 +153,7 @@
 		}
 		accrue(now);
 		double missing = Math.max(0, ahead + 1 - this.permits);
-		double settlingMillis = Math.max(0, this.limitedSinceMillis + SETTLE_MILLIS - now);
+		double settlingMillis = Math.max(0, this.limitedSinceMillis + this.settleMillis - now);
 		double whileSettling = settlingMillis * ratePerSecond(now) / MILLIS_PER_SECOND;
 		if (missing <= whileSettling) {
 			return missing * MILLIS_PER_SECOND / ratePerSecond(now);
@@ -167,11 +179,11 @@
 	}
 
 	private double ratePerSecond(long now) {
-		double settlingMillis = this.limitedSinceMillis + SETTLE_MILLIS - now;
+		double settlingMillis = this.limitedSinceMillis + this.settleMillis - now;
 		if (settlingMillis <= 0) {
 			return this.limitPerSecond;
 		}
-		double span = this.limitPerSecond * SETTLED_RATIO * (PRIOR_MILLIS + SETTLE_MILLIS) / MILLIS_PER_SECOND;
+		double span = this.limitPerSecond * SETTLED_RATIO * (this.priorMillis + this.settleMillis) / MILLIS_PER_SECOND;
 		double rate = (span - this.settlingStarts) * MILLIS_PER_SECOND / settlingMillis;
 		return Math.clamp(rate, MIN_SETTLING_SHARE * this.limitPerSecond, this.limitPerSecond);
 	}
--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
@@ -60,12 +60,20 @@
 
 	private final List<QueuedJob<T>> waiting = new ArrayList<>();
 
-	private final StartPacer pacer = new StartPacer();
+	private final StartPacer pacer;
 
 	private int running;
 
 	private long nextSequence;
 
+	/**
+	 * Creates an empty queue.
+	 * @param pacer paces the starts when the target has named a limit
+	 */
+	public TargetQueue(StartPacer pacer) {
+		this.pacer = pacer;
+	}
+
 	/**
 	 * Sets the limit that the target has named.
 	 * @param perSecond requests per second; {@link TargetStatements#NO_LIMIT} for none
--- a/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/request/AdmissionQueue.java
@@ -35,7 +35,7 @@
 				.thenComparingLong(Entry::deadlineAt)
 				.thenComparingLong(Entry::sequence));
 
-	private final StartPacer pacer = new StartPacer();
+	private final StartPacer pacer = new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS);
 
 	/** Number of running entries. */
 	private int running;
--- a/core/src/test/java/org/eelgrasspitch/mesh/OverloadSimulation.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/OverloadSimulation.java
@@ -50,7 +50,7 @@
 	 * @return the result of every arrival
 	 */
 	List<Result> runTargetQueue() {
-		TargetQueue<Arrival> queue = new TargetQueue<>();
+		TargetQueue<Arrival> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		List<Result> results = new ArrayList<>();
 		PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingDouble(Running::endsAtMillis));
 		long tickMillis = 0;
--- a/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
@@ -94,7 +94,7 @@
 
 	@Test
 	public void requestsThatTheLimitDelaysTooLongAreRefusedAtOnce() {
-		TargetQueue<Integer> queue = new TargetQueue<>();
+		TargetQueue<Integer> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		queue.setLimit(2, 0);
 		List<Integer> refused = new ArrayList<>();
 		for (int i = 0; i < 20; i++) {
@@ -108,7 +108,7 @@
 
 	@Test
 	public void delayCountsOnTheLimitFromTheEndOfSettling() {
-		StartPacer pacer = new StartPacer();
+		StartPacer pacer = new StartPacer(SETTLE_MILLIS);
 		pacer.recordStarts(100, 9_900);
 		pacer.setLimit(20, 10_000);
 		long nearEnd = 10_000 + SETTLE_MILLIS - 200;
@@ -122,9 +122,39 @@
 		Assert.assertEquals(now - nearEnd, delay, 20);
 	}
 
+	@DataProvider
+	public Object[][] settleTimes() {
+		return new Object[][] { { 1_500 }, { 2_000 }, { 3_000 }, { 4_000 }, { 6_000 } };
+	}
+
+	@Test(dataProvider = "settleTimes")
+	public void limitIsKeptFromTheSettleTimeOfTheDeployment(long settleMillis) {
+		double limit = 20;
+		double before = 2.2 * limit;
+		StartPacer pacer = new StartPacer(settleMillis);
+		List<Long> starts = new ArrayList<>();
+		double arrived = 0;
+		for (long now = 0; now < 10_000; now++) {
+			if (now == 5_020) {
+				pacer.setLimit(limit, now);
+			}
+			arrived += before / 1_000;
+			if (arrived >= 1 && pacer.permits(now) > 0) {
+				arrived = 0;
+				pacer.recordStarts(1, now);
+				starts.add(now);
+			}
+		}
+		for (long end = 5_000 + settleMillis; end < 10_000; end += 50) {
+			long count = count(starts, end - SPAN_MILLIS, end);
+			double allowed = ALLOWED_FACTOR * limit * SPAN_MILLIS / 1_000 + ALLOWED_EXTRA;
+			Assert.assertTrue(count <= allowed, count + " starts before " + end + ", allowed " + allowed);
+		}
+	}
+
 	@Test
 	public void nestedCallsGetTheStartsOfALimitedTargetFirst() {
-		TargetQueue<String> queue = new TargetQueue<>();
+		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		queue.setLimit(10, 0);
 		queue.offer(new Job<>("running", 2, 5_000, 5_000, 100), SLOTS, 0);
 		queue.offer(new Job<>("second", 2, 5_000, 5_000, 100), SLOTS, 0);
@@ -189,7 +219,7 @@
 		}
 
 		private List<Long> starts() {
-			TargetQueue<Long> queue = new TargetQueue<>();
+			TargetQueue<Long> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 			List<Long> starts = new ArrayList<>();
 			List<Long> ends = new ArrayList<>();
 			double arrived = 0;
--- a/core/src/test/java/org/eelgrasspitch/mesh/TargetQueueTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/TargetQueueTests.java
@@ -72,7 +72,7 @@
 
 	@Test
 	public void onlyWaitingWorkCanBeRemoved() {
-		TargetQueue<String> queue = new TargetQueue<>();
+		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		Assert.assertEquals(queue.offer(new Job<>("a", 1, 1_000, 2_000, 100), 1, 0).started(), List.of("a"));
 		Assert.assertEquals(queue.offer(new Job<>("b", 1, 1_000, 2_000, 100), 1, 0).started(), List.of());
 		Assert.assertFalse(queue.remove("a"));
@@ -83,7 +83,7 @@
 
 	@Test
 	public void workThatCannotBeServedBeforeItsDeadlineIsRefusedAtOnce() {
-		TargetQueue<String> queue = new TargetQueue<>();
+		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		queue.offer(new Job<>("a", 1, 1_000, 2_000, 100), 1, 0);
 		Assert.assertTrue(queue.offer(new Job<>("b", 1, 10, 90, 100), 1, 0).refusal("b").isPresent());
 	}
@@ -115,7 +115,7 @@
 		Assert.assertTrue(times.expectedMillis("record", 0) <= 100, "expected: " + times.expectedMillis("record", 0));
 		times.observe("record", 900, 0);
 		Assert.assertTrue(times.expectedMillis("record", 60_000) <= 100, "an observation of a minute ago is stale");
-		TargetQueue<String> queue = new TargetQueue<>();
+		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
 		Assert.assertEquals(queue.offer(new Job<>("a", -1, 200, 600, 900), 1, 0).started(), List.of("a"));
 		queue.offer(new Job<>("b", -1, 200, 600, 50), 1, 0);
 		Assert.assertEquals(queue.release(1, 580).started(), List.of("b"), "the deadline has not passed");
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DrainTimer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DrainTimer.java
@@ -7,20 +7,27 @@
 
 /**
  * Drains the target on this VM once its entry is published as draining or is removed: for
- * {@link #DRAIN_GRACE_MILLIS} waiting and new calls are still sent to it, afterwards none
+ * a part of its drain time waiting and new calls are still sent to it, afterwards none
  * are. Draining ends when the target is published as available again.
  */
 final class DrainTimer {
 
 	/**
-	 * Time for which calls are still sent to a draining target, in milliseconds. Together
-	 * with the time until the draining entry is known here, it must stay below the time
-	 * for which a draining target accepts requests.
+	 * Maximum time for which calls are still sent to a draining target, in milliseconds;
+	 * longer waits gain nothing, because other targets are chosen by then.
 	 */
-	private static final long DRAIN_GRACE_MILLIS = 1_000;
+	private static final long MAX_GRACE_MILLIS = 1_000;
+
+	/**
+	 * Share of the time for which a draining target accepts requests in which calls are
+	 * sent. The rest is left to the time until its leaving is known here.
+	 */
+	private static final double GRACE_SHARE = 0.5;
 
 	private final EventLoop loop;
 
+	private final long graceMillis;
+
 	/** Run when no more calls may be sent to the target. */
 	private final Runnable action;
 
@@ -29,8 +36,16 @@
 
 	private boolean expired;
 
-	DrainTimer(EventLoop loop, Runnable action) {
+	/**
+	 * Creates a timer.
+	 * @param loop event loop of the home
+	 * @param drainMillis time for which a draining target accepts requests, in
+	 * milliseconds
+	 * @param action run when no more calls may be sent to the target
+	 */
+	DrainTimer(EventLoop loop, long drainMillis, Runnable action) {
 		this.loop = loop;
+		this.graceMillis = Math.min(MAX_GRACE_MILLIS, (long) (GRACE_SHARE * drainMillis));
 		this.action = action;
 	}
 
@@ -45,7 +60,7 @@
 			this.expired = false;
 		}
 		if (!available && this.expiry == null) {
-			this.expiry = this.loop.schedule(this::expire, DRAIN_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+			this.expiry = this.loop.schedule(this::expire, this.graceMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -9,6 +9,7 @@
 
 import org.eelgrasspitch.mesh.NestedCallRates;
 import org.eelgrasspitch.mesh.ServiceTimes;
+import org.eelgrasspitch.mesh.StartPacer;
 import org.eelgrasspitch.mesh.TargetDirectory;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.mesh.TargetLoad;
@@ -55,7 +56,7 @@
 
 	private final ProxyContext context;
 
-	private final TargetQueue<HomeCall> queue = new TargetQueue<>();
+	private final TargetQueue<HomeCall> queue;
 
 	private final TargetConnector connector;
 
@@ -97,6 +98,7 @@
 
 	HomeService(ProxyContext context, QuarantineKeeper quarantine) {
 		this.context = context;
+		this.queue = new TargetQueue<>(new StartPacer(context.settings().settleMillis()));
 		this.connector = new TargetConnector(context, this);
 		this.quarantine = quarantine;
 		this.condition = new TargetCondition(context, (limit) -> this.queue.setLimit(limit, now()), this::stateChanged,
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettings.java
@@ -21,13 +21,24 @@
  * fleet
  * @param retryMinimum number of retries allowed in addition per window, across the fleet
  * @param retryWindowMillis length of that window in milliseconds
+ * @param drainMillis time in milliseconds for which a target that is leaving may get new
+ * requests
+ * @param settleMillis time in milliseconds after which a limit that a target names must
+ * be kept
  * @param logDetail how much is logged about requests
  * @param logLinesPerSecond usual maximum of log lines about requests per second
  */
 public record ProxySettings(String vm, String failureDomain, String service, InetSocketAddress entryAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress linkAddress, InetSocketAddress metricsAddress,
 		InetSocketAddress targetAddress, InetSocketAddress sourceAddress, int linkCapacityMegabits, long stopMillis,
-		double retryRatio, double retryMinimum, long retryWindowMillis, LogDetail logDetail, int logLinesPerSecond) {
+		double retryRatio, double retryMinimum, long retryWindowMillis, long drainMillis, long settleMillis,
+		LogDetail logDetail, int logLinesPerSecond) {
+
+	/** Default of {@code drainMillis}. */
+	public static final long DEFAULT_DRAIN_MILLIS = 2_000;
+
+	/** Default of {@code settleMillis}. */
+	public static final long DEFAULT_SETTLE_MILLIS = 3_000;
 
 	/**
 	 * Default of {@code logLinesPerSecond}: enough for the lines of two or three requests
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxySettingsParser.java
@@ -56,10 +56,16 @@
 				fields.has("linkMegabits") ? (int) Math.round(fields.number("linkMegabits", 0, MAX_LINK_MEGABITS)) : 0,
 				secondsAsMillis(fields, "stopSeconds"), fields.number("retryRatio", 0, 1),
 				fields.number("retryMinimum", 0, MAX_RETRIES), secondsAsMillis(fields, "retryWindowSeconds"),
+				secondsAsMillis(fields, "drainSeconds", ProxySettings.DEFAULT_DRAIN_MILLIS),
+				secondsAsMillis(fields, "settleSeconds", ProxySettings.DEFAULT_SETTLE_MILLIS),
 				fields.oneOf("logDetail", List.of(LogDetail.values()), LogDetail.DEFAULT), fields.integer(
 						"logLinesPerSecond", 1, MAX_LOG_LINES_PER_SECOND, ProxySettings.DEFAULT_LOG_LINES_PER_SECOND));
 	}
 
+	private static long secondsAsMillis(JsonObjectReader fields, String key, long defaultMillis) {
+		return fields.has(key) ? secondsAsMillis(fields, key) : defaultMillis;
+	}
+
 	private static long secondsAsMillis(JsonObjectReader fields, String key) {
 		return Math.round(fields.number(key, 0, MAX_SECONDS) * MILLIS_PER_SECOND);
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
@@ -40,7 +40,7 @@
 		this.context = context;
 		this.limitListener = limitListener;
 		this.leavingListener = leavingListener;
-		this.drainTimer = new DrainTimer(context.loop(), drainedAction);
+		this.drainTimer = new DrainTimer(context.loop(), context.settings().drainMillis(), drainedAction);
 	}
 
 	/**
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
@@ -51,7 +51,8 @@
 		this.target = new ServerSocket(0, SLOTS * 2, InetAddress.getLoopbackAddress());
 		InetSocketAddress address = (InetSocketAddress) this.target.getLocalSocketAddress();
 		ProxySettings settings = new ProxySettings("vm-1", "a", "desk", address, address, address, address, address,
-				address, 0, 1_000, 0.2, 10, 10_000, LogDetail.OFF, 1);
+				address, 0, 1_000, 0.2, 10, 10_000, ProxySettings.DEFAULT_DRAIN_MILLIS,
+				ProxySettings.DEFAULT_SETTLE_MILLIS, LogDetail.OFF, 1);
 		this.group = new NioEventLoopGroup(1);
 		this.time = TimeSource.system();
 		ProxyContext context = new ProxyContext(settings, NAMES, (EventLoop) this.group.next(), this.time,
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/ProxySettingsParserTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/ProxySettingsParserTests.java
@@ -41,6 +41,17 @@
 		Assert.assertEquals(settings.logLinesPerSecond(), 7);
 	}
 
+	@Test
+	public void readsTimesForTargetsThatLeaveOrNameALimit() {
+		Assert.assertEquals(parse(VALID_SETTINGS).get().drainMillis(), ProxySettings.DEFAULT_DRAIN_MILLIS);
+		Assert.assertEquals(parse(VALID_SETTINGS).get().settleMillis(), ProxySettings.DEFAULT_SETTLE_MILLIS);
+		ProxySettings settings = parse(
+				VALID_SETTINGS.replace("{\"vm\"", "{\"drainSeconds\": 1, \"settleSeconds\": 4.5, \"vm\""))
+			.get();
+		Assert.assertEquals(settings.drainMillis(), 1_000);
+		Assert.assertEquals(settings.settleMillis(), 4_500);
+	}
+
 	@Test
 	public void reportsEveryProblem() {
 		List<Problem> problems = parse(VALID_SETTINGS.replace("\"10.0.0.1:1\"", "\"nowhere\"")
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/TargetStatementFaultTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/TargetStatementFaultTests.java
@@ -76,7 +76,8 @@
 		Thread.ofVirtual().start(this::accept);
 		InetSocketAddress address = (InetSocketAddress) this.target.getLocalSocketAddress();
 		ProxySettings settings = new ProxySettings("vm-1", "a", "desk", address, address, address, address, address,
-				address, 0, 1_000, 0.2, 10, 10_000, LogDetail.OFF, 1);
+				address, 0, 1_000, 0.2, 10, 10_000, ProxySettings.DEFAULT_DRAIN_MILLIS,
+				ProxySettings.DEFAULT_SETTLE_MILLIS, LogDetail.OFF, 1);
 		this.group = new NioEventLoopGroup(1);
 		this.loop = (EventLoop) this.group.next();
 		ProxyContext context = new ProxyContext(settings, NAMES, this.loop, this.time, new SplittableRandom(1),
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -141,7 +141,8 @@
 		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
 				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.metricsPort),
 				address(vm, this.serverPort), this.store.address(), 0, STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM,
-				RETRY_WINDOW_MILLIS, LogDetail.DEFAULT, ProxySettings.DEFAULT_LOG_LINES_PER_SECOND);
+				RETRY_WINDOW_MILLIS, ProxySettings.DEFAULT_DRAIN_MILLIS, ProxySettings.DEFAULT_SETTLE_MILLIS,
+				LogDetail.DEFAULT, ProxySettings.DEFAULT_LOG_LINES_PER_SECOND);
 		this.nodes.put(vm, this.closer.register(PlatformNode.start(settings)));
 	}
 
