Keep the limit of a target when its home was frozen at the naming and after a burst before it

Cause: the settling counted from the first answer that was read, though a home that was frozen reads it late; and it ended while a burst from just before the naming was still within the span that the platform counts. Change: TargetStatements knows the last answer before the naming; StartPacer settles from there, and stays at the reduced rate while the starts of the span exceed what the platform tolerates.

--- a/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StartPacer.java
@@ -33,15 +33,23 @@
 	private static final long SPAN_MILLIS = 4_000;
 
 	/**
-	 * Starts in the span around the naming for each start that the limit allows in it.
-	 * The platform tolerates 1.5; the rest is left to requests that start before the
-	 * first answer with the limit arrives.
+	 * Starts in a span for each start that the limit allows in it, as tolerated by the
+	 * platform.
+	 */
+	private static final double TOLERATED_RATIO = 1.5;
+
+	/**
+	 * The same for the span around the naming. It is lower, because requests start before
+	 * the first answer with the limit arrives.
 	 */
 	private static final double SETTLED_RATIO = 1.25;
 
 	/** Minimum share of the limit at which requests start while it settles. */
 	private static final double MIN_SETTLING_SHARE = 0.1;
 
+	/** Minimum time left to settle when a limit is learned late, in milliseconds. */
+	private static final long MIN_SETTLING_MILLIS = 1_000;
+
 	/** Rate at which requests start at a target that takes none, per second. */
 	private static final double MIN_PER_SECOND = 0.5;
 
@@ -59,13 +67,16 @@
 	 */
 	private final long priorMillis;
 
-	/** Monotonic times of the starts in the last {@link #priorMillis}. */
+	/** Monotonic times of the starts in the last {@link #SPAN_MILLIS}. */
 	private final Deque<Long> recentStarts = new ArrayDeque<>();
 
 	/** Limit in starts per second; infinite if there is none. */
 	private double limitPerSecond = TargetStatements.NO_LIMIT;
 
-	/** Monotonic time at which the limit was named or last lowered, in milliseconds. */
+	/**
+	 * Monotonic time from which the settling of the limit counts, in milliseconds: when
+	 * it was named or last lowered, as far as known.
+	 */
 	private long limitedSinceMillis;
 
 	/** Starts since {@link #priorMillis} before {@link #limitedSinceMillis}. */
@@ -89,21 +100,23 @@
 	/**
 	 * Sets the limit.
 	 * @param perSecond starts per second; {@link TargetStatements#NO_LIMIT} for none
+	 * @param namedAfterMillis earliest time at which the target can have named it, in
+	 * monotonic milliseconds; ignored without a limit
 	 * @param now current monotonic time in milliseconds
 	 */
-	public void setLimit(double perSecond, long now) {
+	public void setLimit(double perSecond, long namedAfterMillis, long now) {
 		double former = this.limitPerSecond;
 		accrue(now);
 		this.limitPerSecond = Math.max(MIN_PER_SECOND, perSecond);
 		if (!isLimited() || this.limitPerSecond >= former) {
 			return;
 		}
-		forgetBefore(now - this.priorMillis);
 		if (former == TargetStatements.NO_LIMIT || now >= this.limitedSinceMillis + this.settleMillis) {
-			this.limitedSinceMillis = now;
-			this.settlingStarts = this.recentStarts.size();
+			this.limitedSinceMillis = Math.max(namedAfterMillis, now - this.settleMillis + MIN_SETTLING_MILLIS);
+			this.settlingStarts = startsSince(this.limitedSinceMillis - this.priorMillis);
 		}
-		double unused = this.limitPerSecond * this.priorMillis / MILLIS_PER_SECOND - this.recentStarts.size();
+		double unused = this.limitPerSecond * this.priorMillis / MILLIS_PER_SECOND
+				- startsSince(now - this.priorMillis);
 		this.permits = Math.clamp(unused, 0, maxPermits());
 		this.permitsAtMillis = now;
 	}
@@ -133,7 +146,6 @@
 	 */
 	public void recordStarts(int count, long now) {
 		accrue(now);
-		forgetBefore(now - this.priorMillis);
 		for (int i = 0; i < count; i++) {
 			this.recentStarts.add(now);
 		}
@@ -171,6 +183,7 @@
 	}
 
 	private void accrue(long now) {
+		forgetBefore(now - SPAN_MILLIS);
 		if (isLimited()) {
 			double accrued = ratePerSecond(this.permitsAtMillis) * (now - this.permitsAtMillis) / MILLIS_PER_SECOND;
 			this.permits = Math.min(maxPermits(), this.permits + accrued);
@@ -179,19 +192,25 @@
 	}
 
 	private double ratePerSecond(long now) {
+		double minimum = MIN_SETTLING_SHARE * this.limitPerSecond;
+		double allowed = this.limitPerSecond * SPAN_MILLIS / MILLIS_PER_SECOND;
 		double settlingMillis = this.limitedSinceMillis + this.settleMillis - now;
 		if (settlingMillis <= 0) {
-			return this.limitPerSecond;
+			// A burst just before the naming may still lie within the span.
+			return (this.recentStarts.size() < TOLERATED_RATIO * allowed + 1) ? this.limitPerSecond : minimum;
 		}
-		double span = this.limitPerSecond * SETTLED_RATIO * (this.priorMillis + this.settleMillis) / MILLIS_PER_SECOND;
-		double rate = (span - this.settlingStarts) * MILLIS_PER_SECOND / settlingMillis;
-		return Math.clamp(rate, MIN_SETTLING_SHARE * this.limitPerSecond, this.limitPerSecond);
+		double rate = (SETTLED_RATIO * allowed - this.settlingStarts) * MILLIS_PER_SECOND / settlingMillis;
+		return Math.clamp(rate, minimum, this.limitPerSecond);
 	}
 
 	private double maxPermits() {
 		return Math.max(1, this.limitPerSecond * BURST_MILLIS / MILLIS_PER_SECOND);
 	}
 
+	private int startsSince(long time) {
+		return (int) this.recentStarts.stream().filter((start) -> start > time).count();
+	}
+
 	private void forgetBefore(long time) {
 		while (!this.recentStarts.isEmpty() && this.recentStarts.peek() <= time) {
 			this.recentStarts.poll();
--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
@@ -77,10 +77,12 @@
 	/**
 	 * Sets the limit that the target has named.
 	 * @param perSecond requests per second; {@link TargetStatements#NO_LIMIT} for none
+	 * @param namedAfterMillis earliest time at which the target can have named it, in
+	 * monotonic milliseconds; ignored without a limit
 	 * @param now current monotonic time in milliseconds
 	 */
-	public void setLimit(double perSecond, long now) {
-		this.pacer.setLimit(perSecond, now);
+	public void setLimit(double perSecond, long namedAfterMillis, long now) {
+		this.pacer.setLimit(perSecond, namedAfterMillis, now);
 	}
 
 	/**
--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetStatements.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetStatements.java
@@ -24,6 +24,15 @@
 	/** Monotonic time of the last answer with a limit, in milliseconds. */
 	private long limitStatedAtMillis = Long.MIN_VALUE;
 
+	/** Monotonic time of the last answer that showed a limit or none, in milliseconds. */
+	private long lastAnswerAtMillis;
+
+	/**
+	 * Monotonic time in milliseconds after which the limit in force was named;
+	 * meaningless without a limit.
+	 */
+	private long limitNamedAfterMillis;
+
 	private boolean leaving;
 
 	/** Whether any answer has shown whether there is a limit. */
@@ -38,26 +47,46 @@
 	 */
 	public void record(TargetStatement statement, long sentAtMillis, long now) {
 		this.leaving |= statement.leaving();
-		this.answered |= statement.complete() || statement.limitPerSecond().isPresent();
 		if (statement.limitPerSecond().isPresent()) {
-			this.limitPerSecond = statement.limitPerSecond().getAsDouble();
+			setLimit(statement.limitPerSecond().getAsDouble(), this.answered ? this.lastAnswerAtMillis : now);
 			this.limitStatedAtMillis = now;
 		}
 		else if (statement.complete() && sentAtMillis > this.limitStatedAtMillis) {
 			this.limitPerSecond = NO_LIMIT;
 		}
+		if (statement.complete() || statement.limitPerSecond().isPresent()) {
+			this.answered = true;
+			this.lastAnswerAtMillis = now;
+		}
 	}
 
 	/**
 	 * Adopts a limit that another node knows, for the time until the first answer.
 	 * @param perSecond requests per second; {@link #NO_LIMIT} if it knows of none
+	 * @param now current monotonic time in milliseconds
 	 */
-	public void adoptLimit(double perSecond) {
-		if (!this.answered) {
-			this.limitPerSecond = Math.min(this.limitPerSecond, perSecond);
+	public void adoptLimit(double perSecond, long now) {
+		if (!this.answered && perSecond < this.limitPerSecond) {
+			setLimit(perSecond, now);
 		}
 	}
 
+	private void setLimit(double perSecond, long namedAfterMillis) {
+		if (perSecond != this.limitPerSecond) {
+			this.limitPerSecond = perSecond;
+			this.limitNamedAfterMillis = namedAfterMillis;
+		}
+	}
+
+	/**
+	 * Returns the earliest time at which the target can have named the limit in force.
+	 * @return monotonic time in milliseconds of the last answer before that named another
+	 * limit or none, or of the first answer; meaningless without a limit
+	 */
+	public long limitNamedAfterMillis() {
+		return this.limitNamedAfterMillis;
+	}
+
 	/**
 	 * Returns the limit in force.
 	 * @return requests per second from all nodes together; {@link #NO_LIMIT} if there is
--- a/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/StartPacerTests.java
@@ -95,7 +95,7 @@
 	@Test
 	public void requestsThatTheLimitDelaysTooLongAreRefusedAtOnce() {
 		TargetQueue<Integer> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
-		queue.setLimit(2, 0);
+		queue.setLimit(2, 0, 0);
 		List<Integer> refused = new ArrayList<>();
 		for (int i = 0; i < 20; i++) {
 			Decision<Integer> decision = queue.offer(new Job<>(i, 2, OBJECTIVE_MILLIS, TIMEOUT_MILLIS, 100), SLOTS, 0);
@@ -110,7 +110,7 @@
 	public void delayCountsOnTheLimitFromTheEndOfSettling() {
 		StartPacer pacer = new StartPacer(SETTLE_MILLIS);
 		pacer.recordStarts(100, 9_900);
-		pacer.setLimit(20, 10_000);
+		pacer.setLimit(20, 10_000, 10_000);
 		long nearEnd = 10_000 + SETTLE_MILLIS - 200;
 		pacer.recordStarts(pacer.permits(nearEnd), nearEnd);
 		double delay = pacer.delayMillis(3, nearEnd);
@@ -136,7 +136,7 @@
 		double arrived = 0;
 		for (long now = 0; now < 10_000; now++) {
 			if (now == 5_020) {
-				pacer.setLimit(limit, now);
+				pacer.setLimit(limit, now, now);
 			}
 			arrived += before / 1_000;
 			if (arrived >= 1 && pacer.permits(now) > 0) {
@@ -155,7 +155,7 @@
 	@Test
 	public void nestedCallsGetTheStartsOfALimitedTargetFirst() {
 		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
-		queue.setLimit(10, 0);
+		queue.setLimit(10, 0, 0);
 		queue.offer(new Job<>("running", 2, 5_000, 5_000, 100), SLOTS, 0);
 		queue.offer(new Job<>("second", 2, 5_000, 5_000, 100), SLOTS, 0);
 		queue.offer(new Job<>("third", 2, 5_000, 5_000, 100), SLOTS, 0);
@@ -229,10 +229,10 @@
 					continue;
 				}
 				if (now == NAMED_AT_MILLIS + this.firstAnswerMillis) {
-					queue.setLimit(this.limit, now);
+					queue.setLimit(this.limit, now, now);
 				}
 				if (now == this.laterAtMillis) {
-					queue.setLimit(this.laterLimit, now);
+					queue.setLimit(this.laterLimit, now, now);
 				}
 				for (; arrived >= 1; arrived--) {
 					start(queue.offer(new Job<>(now, 2, now + OBJECTIVE_MILLIS, now + TIMEOUT_MILLIS, SERVICE_MILLIS),
--- a/core/src/test/java/org/eelgrasspitch/mesh/TargetStatementsTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/TargetStatementsTests.java
@@ -28,6 +28,18 @@
 		Assert.assertFalse(statements.isLimited());
 	}
 
+	@Test
+	public void limitIsNamedAfterTheLastAnswerWithoutIt() {
+		TargetStatements statements = new TargetStatements();
+		statements.record(NOTHING, 100, 200);
+		statements.record(NOTHING, 150, 300);
+		statements.record(limit(20), 200, 900);
+		statements.record(limit(20), 300, 950);
+		Assert.assertEquals(statements.limitNamedAfterMillis(), 300);
+		statements.record(limit(10), 900, 1_000);
+		Assert.assertEquals(statements.limitNamedAfterMillis(), 950);
+	}
+
 	@Test
 	public void malformedLimitAndRefusalsLeaveTheLimitInForce() {
 		TargetStatements statements = new TargetStatements();
@@ -39,13 +51,13 @@
 	@Test
 	public void limitThatAPeerKnowsHoldsUntilTheFirstAnswer() {
 		TargetStatements statements = new TargetStatements();
-		statements.adoptLimit(20);
+		statements.adoptLimit(20, 50);
 		Assert.assertEquals(statements.limitPerSecond(), 20.0);
 		statements.record(MALFORMED, 100, 200);
 		Assert.assertEquals(statements.limitPerSecond(), 20.0);
 		statements.record(NOTHING, 100, 200);
 		Assert.assertFalse(statements.isLimited());
-		statements.adoptLimit(20);
+		statements.adoptLimit(20, 50);
 		Assert.assertFalse(statements.isLimited(), "the peer's knowledge is older than the answer");
 	}
 
--- a/core/src/test/java/org/eelgrasspitch/request/AdmissionQueueTests.java
+++ b/core/src/test/java/org/eelgrasspitch/request/AdmissionQueueTests.java
@@ -35,7 +35,7 @@
 	@Test
 	public void workIsStartedAtTheLimit() {
 		AdmissionQueue<String> queue = new AdmissionQueue<>();
-		queue.setLimit(10, 0);
+		queue.setLimit(10, 0, 0);
 		long now = 0;
 		for (int i = 0; i < 400; i++) {
 			now += 25;
@@ -48,7 +48,7 @@
 	@Test
 	public void whatTheLimitDelaysBeyondItsDeadlineIsShedAtOnce() {
 		AdmissionQueue<String> queue = new AdmissionQueue<>();
-		queue.setLimit(2, 0);
+		queue.setLimit(2, 0, 0);
 		for (int i = 0; i < 10; i++) {
 			offer(queue, "w" + i, LOWEST, 1_000, 0);
 		}
@@ -60,7 +60,7 @@
 	@Test
 	public void higherPriorityGoesFirstUnderALimit() {
 		AdmissionQueue<String> queue = new AdmissionQueue<>();
-		queue.setLimit(10, 0);
+		queue.setLimit(10, 0, 0);
 		offer(queue, "running", LOWEST, 5_000, 0);
 		offer(queue, "running too", LOWEST, 5_000, 0);
 		offer(queue, "low", LOWEST, 5_000, 0);
@@ -73,11 +73,11 @@
 	@Test
 	public void workThatWaitedStartsWhenTheLimitEnds() {
 		AdmissionQueue<String> queue = new AdmissionQueue<>();
-		queue.setLimit(2, 0);
+		queue.setLimit(2, 0, 0);
 		for (int i = 0; i < 5; i++) {
 			offer(queue, "w" + i, LOWEST, 10_000, 0);
 		}
-		queue.setLimit(TargetStatements.NO_LIMIT, 100);
+		queue.setLimit(TargetStatements.NO_LIMIT, 100, 100);
 		releaseAll(queue, 100);
 		Assert.assertEquals(this.started.size(), 5);
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -219,7 +219,7 @@
 			if (this.statements.limitPerSecond() == former) {
 				return;
 			}
-			this.queue.setLimit(this.statements.limitPerSecond(), now());
+			this.queue.setLimit(this.statements.limitPerSecond(), this.statements.limitNamedAfterMillis(), now());
 		}
 		this.context.log()
 			.info("target_limit_changed", Field.of("per_second",
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -16,6 +16,7 @@
 import org.eelgrasspitch.mesh.TargetQueue;
 import org.eelgrasspitch.mesh.TargetQueue.Decision;
 import org.eelgrasspitch.mesh.TargetQueue.Job;
+import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.proxy.ProxyMetrics.Outcome;
 import org.eelgrasspitch.proxy.TargetConnector.Suspect;
@@ -101,8 +102,7 @@
 		this.queue = new TargetQueue<>(new StartPacer(context.settings().settleMillis()));
 		this.connector = new TargetConnector(context, this);
 		this.quarantine = quarantine;
-		this.condition = new TargetCondition(context, (limit) -> this.queue.setLimit(limit, now()), this::stateChanged,
-				this::refuseWaiting);
+		this.condition = new TargetCondition(context, this::applyLimit, this::stateChanged, this::refuseWaiting);
 		context.loop()
 			.scheduleAtFixedRate(this::failOverdue, OVERDUE_CHECK_INTERVAL_MILLIS, OVERDUE_CHECK_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -312,6 +312,10 @@
 		this.actualTarget = target;
 	}
 
+	private void applyLimit(TargetStatements statements) {
+		this.queue.setLimit(statements.limitPerSecond(), statements.limitNamedAfterMillis(), now());
+	}
+
 	TargetCondition condition() {
 		return this.condition;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetCondition.java
@@ -1,7 +1,7 @@
 package org.eelgrasspitch.proxy;
 
 import java.net.InetSocketAddress;
-import java.util.function.DoubleConsumer;
+import java.util.function.Consumer;
 
 import org.eelgrasspitch.mesh.TargetStatement;
 import org.eelgrasspitch.mesh.TargetStatements;
@@ -18,8 +18,8 @@
 
 	private final ProxyContext context;
 
-	/** Told each new limit, in requests per second. */
-	private final DoubleConsumer limitListener;
+	/** Told what the target has stated after each change of its limit. */
+	private final Consumer<TargetStatements> limitListener;
 
 	/** Run when the target has stated that it is leaving. */
 	private final Runnable leavingListener;
@@ -31,11 +31,11 @@
 	/**
 	 * Creates the condition of a target that has stated nothing.
 	 * @param context shared dependencies
-	 * @param limitListener told each new limit, in requests per second
+	 * @param limitListener told what the target has stated after each change of its limit
 	 * @param leavingListener run when the target has stated that it is leaving
 	 * @param drainedAction run when no more requests may be sent to the target
 	 */
-	TargetCondition(ProxyContext context, DoubleConsumer limitListener, Runnable leavingListener,
+	TargetCondition(ProxyContext context, Consumer<TargetStatements> limitListener, Runnable leavingListener,
 			Runnable drainedAction) {
 		this.context = context;
 		this.limitListener = limitListener;
@@ -48,7 +48,7 @@
 	 */
 	void reset() {
 		this.statements = new TargetStatements();
-		this.limitListener.accept(TargetStatements.NO_LIMIT);
+		this.limitListener.accept(this.statements);
 	}
 
 	/**
@@ -100,14 +100,14 @@
 	 */
 	void adoptLimit(double perSecond) {
 		double formerLimit = this.statements.limitPerSecond();
-		this.statements.adoptLimit(perSecond);
+		this.statements.adoptLimit(perSecond, this.context.now());
 		reportLimitChange(formerLimit, "peer");
 	}
 
 	private void reportLimitChange(double formerLimit, String source) {
 		if (this.statements.limitPerSecond() != formerLimit) {
 			logLimit(source);
-			this.limitListener.accept(this.statements.limitPerSecond());
+			this.limitListener.accept(this.statements);
 		}
 	}
 
