--- a/scenarios/src/test/resources/features/whole-path.feature
+++ b/scenarios/src/test/resources/features/whole-path.feature
@@ -11,6 +11,8 @@
     When the operators publish a change
     Then within 13 seconds every node holds the latest revision
 
+  # Listed in KNOWN-RED.txt.
+  @known-red
   Scenario: The kill of one node loses no later request
     Given a mesh of 6 nodes in 3 failure domains
     When node vm-002 is killed
