--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -69,6 +69,11 @@
 		start(new PlatformWorld(slots), vms);
 	}
 
+	@Given("servers with {int} slots, {int} ms to stop and their nodes at {}")
+	public void servers(int slots, int stopMillis, String vms) throws IOException {
+		start(new PlatformWorld(slots, stopMillis), vms);
+	}
+
 	private void start(PlatformWorld newWorld, String vms) throws IOException {
 		close();
 		this.world = newWorld;
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -27,7 +27,7 @@
  */
 final class PlatformWorld implements AutoCloseable {
 
-	private static final long STOP_MILLIS = 6_000;
+	private static final long DEFAULT_STOP_MILLIS = 6_000;
 
 	private static final double RETRY_RATIO = 0.2;
 
@@ -72,12 +72,20 @@
 	/** Slots that the servers announce. */
 	private final int slots;
 
+	/** Time that the nodes have to stop, in milliseconds. */
+	private final long stopMillis;
+
 	PlatformWorld() throws IOException {
 		this(DEFAULT_SLOTS);
 	}
 
 	PlatformWorld(int slots) throws IOException {
+		this(slots, DEFAULT_STOP_MILLIS);
+	}
+
+	PlatformWorld(int slots, long stopMillis) throws IOException {
 		this.slots = slots;
+		this.stopMillis = stopMillis;
 		this.store = this.closer.register(new StoreStandIn(new InetSocketAddress("127.0.0.1", 0)));
 	}
 
@@ -140,7 +148,7 @@
 	void startNode(String vm) {
 		ProxySettings settings = new ProxySettings(vm, zone(vm), service(vm), address(vm, this.entryPort),
 				address(vm, this.readinessPort), address(vm, this.linkPort), address(vm, this.metricsPort),
-				address(vm, this.serverPort), this.store.address(), 0, STOP_MILLIS, RETRY_RATIO, RETRY_MINIMUM,
+				address(vm, this.serverPort), this.store.address(), 0, this.stopMillis, RETRY_RATIO, RETRY_MINIMUM,
 				RETRY_WINDOW_MILLIS, ProxySettings.DEFAULT_DRAIN_MILLIS, ProxySettings.DEFAULT_SETTLE_MILLIS,
 				LogDetail.DEFAULT, ProxySettings.DEFAULT_LOG_LINES_PER_SECOND);
 		this.nodes.put(vm, this.closer.register(PlatformNode.start(settings)));
