Wait for the decoding by order and not by time in RoutingStateKeeperTests

Cause: the test waited for an empty task that its own thread scheduled 1 ms ahead. Such a task enters the queue of the event loop from outside. If it is due when the loop takes it, it runs at once, before tasks that the loop scheduled earlier and has not moved to the queue. Change: the reading task schedules the empty task itself, with no delay, behind the decoding. The event loop orders its own tasks by time and, at the same time, by the order in which they were scheduled. The published state is reset before each reading, so a state of an earlier test cannot be taken for the awaited one. One further test holds the control thread up in each build. No assertion is changed; the code under test is not changed.

--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.DefaultEventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import io.vavr.control.Either;
 import org.eelgrasspitch.mesh.CallerLimits;
 import org.eelgrasspitch.mesh.MeshConfig;
@@ -31,6 +34,8 @@
 
 	private static final long TIMEOUT_SECONDS = 10;
 
+	private static final long HOLD_UP_MILLIS = 5;
+
 	private final DefaultEventLoop control = new DefaultEventLoop();
 
 	private final List<String> decoded = new ArrayList<>();
@@ -67,27 +72,55 @@
 		Assert.assertEquals(this.state.config().version(), 5);
 	}
 
+	@Test
+	public void configurationIsInForceAfterAControlThreadWasHeldUp() throws Exception {
+		receiveHeldUp(HOLD_UP_MILLIS, "5", "6", "7");
+		Assert.assertEquals(this.state.config().version(), 7);
+		Assert.assertEquals(this.decoded, List.of("7"));
+	}
+
+	private void receive(String... contents) throws Exception {
+		receiveHeldUp(0, contents);
+	}
+
 	/**
 	 * Reads configurations in one task of the control thread, so that all of them wait
-	 * when the first is to be decoded.
+	 * when the first is to be decoded, and waits until that is done.
+	 * @param holdUpMillis time for which the control thread is held up between the
+	 * reading and the decoding
+	 * @param contents contents of the configurations
 	 */
-	private void receive(String... contents) throws Exception {
+	private void receiveHeldUp(long holdUpMillis, String... contents) throws Exception {
 		this.decoded.clear();
+		this.state = RoutingState.EMPTY;
 		RoutingStateKeeper keeper = new RoutingStateKeeper(this.control, TimeSource.system(), new VersionDecoder(),
 				new DecisionLog("vm-1", TimeSource.system(), LogDetail.OFF, 1), (published) -> this.state = published,
 				new IdleSource());
-		this.control.submit(() -> {
-			long revision = 0;
-			for (String content : contents) {
-				SourceItem item = new SourceItem("op", content.getBytes(StandardCharsets.UTF_8), revision + 1);
-				keeper.documentRead(SourceChannel.CONFIG,
-						new SourceDelta(revision, revision + 1, List.of(item), List.of()));
-				revision++;
+		Promise<Future<?>> read = this.control.newPromise();
+		read.addListener((ignored) -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(holdUpMillis)));
+		this.control.execute(() -> {
+			try {
+				read(keeper, contents);
+				// Scheduled by the control thread itself, so that it runs after the
+				// decoding.
+				read.setSuccess(this.control.schedule(() -> {
+				}, 0, TimeUnit.MILLISECONDS));
+			}
+			catch (RuntimeException ex) {
+				read.setFailure(ex);
 			}
-		}).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-		// Runs after the decoding, which was scheduled before it.
-		this.control.schedule(() -> {
-		}, 1, TimeUnit.MILLISECONDS).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		});
+		read.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static void read(RoutingStateKeeper keeper, String... contents) {
+		long revision = 0;
+		for (String content : contents) {
+			SourceItem item = new SourceItem("op", content.getBytes(StandardCharsets.UTF_8), revision + 1);
+			keeper.documentRead(SourceChannel.CONFIG,
+					new SourceDelta(revision, revision + 1, List.of(item), List.of()));
+			revision++;
+		}
 	}
 
 	private static final class IdleSource implements Source {
