Test what else could give up a payment that runs

Cause: besides the closing home, the record allows that the end of a connection is read before the answer on it, that a lost link ends the run, or that the entry node that stops gives the payment up.

Change: the stand-in of a server ends connections after an answer in six ways and notices when the proxy ends a connection first (watch).

--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/GivenUpSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/GivenUpSteps.java
@@ -25,6 +25,8 @@
 	/** Status that a node gives for a request that may have run. */
 	private static final int GIVEN_UP = 502;
 
+	private static final int OK = 200;
+
 	private static final int NO_ANSWER = 0;
 
 	/** Status that each caller got, or {@link #NO_ANSWER}, by request identifier. */
@@ -45,6 +47,37 @@
 		this.callers.forEach(GivenUpSteps::join);
 	}
 
+	@Then("{int} requests POST {word} from {word}, read after {int} ms, get status 200 with {int} bytes")
+	public void whole(int count, String path, String vm, int millis, int bytes) throws IOException {
+		List<String> wrong = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			try (RawCaller caller = PlatformWorlds.current().caller(vm)) {
+				caller.request("POST", PlatformSteps.HOST, path, "whole-" + i, TIMEOUT_MILLIS, "pay me");
+				Cluster.sleep(millis);
+				Response response = caller.read();
+				if (response.status() != OK || !response.whole() || response.body().length() != bytes) {
+					wrong.add("whole-" + i + ": " + response.status() + " with " + response.body().length());
+				}
+			}
+		}
+		Assert.assertEquals(wrong, List.of(), wrong.size() + " of " + count);
+	}
+
+	@When("a caller at {word} sends POST {word}, and after {int} ms the node at {word} dies")
+	public void nodeDies(String vm, String path, int millis, String dying) {
+		PlatformWorld world = PlatformWorlds.current();
+		this.callers.add(Thread.ofVirtual().start(() -> send(world, vm, path, "dying")));
+		Cluster.sleep(millis);
+		world.node(dying).close();
+	}
+
+	@Then("after {int} ms the server at {word} has run it to its end")
+	public void ranToItsEnd(int millis, String vm) {
+		Cluster.sleep(millis);
+		Assert.assertEquals(PlatformWorlds.current().server(vm).received().size(), 1, "started");
+		Assert.assertEquals(PlatformWorlds.current().server(vm).cutOff(), List.of(), "cut off");
+	}
+
 	@Then("no request that started at {word} ended with status 502 or without an answer")
 	public void noneGivenUp(String vm) {
 		Set<String> started = PlatformWorlds.current()
@@ -64,6 +97,7 @@
 			.stream()
 			.collect(Collectors.groupingBy((status) -> status, Collectors.counting()));
 		Assert.assertFalse(this.statuses.isEmpty(), "requests were sent");
+		Assert.assertEquals(PlatformWorlds.current().server(vm).cutOff(), List.of(), "runs cut off");
 		Assert.assertEquals(givenUp, List.of(),
 				givenUp.size() + " given up; callers by status: " + byStatus + "; started: " + started.size());
 	}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -8,6 +8,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,8 +39,15 @@
 	/** Duration of a {@code stall-} request that names this server. */
 	private static final long STALL_MILLIS = 60_000;
 
+	private static final String CLOSE = "Connection: close\r\n";
+
 	private static final int LONG_BODY_BYTES = 300_000;
 
+	private static final int HUGE_BODY_BYTES = 4_000_000;
+
+	/** Prefix of requests that notice when their connection ends before the answer. */
+	private static final String WATCH_PREFIX = "watch";
+
 	private static final String ENDLESS_PREFIX = "endless-";
 
 	private static final int ENDLESS_BLOCK_BYTES = 4_096;
@@ -50,6 +59,9 @@
 	/** Every request that arrived, in order. */
 	private final List<Received> received = new ArrayList<>();
 
+	/** Identifiers of {@code watch} requests whose connection ended while they ran. */
+	private final List<String> cutOff = new ArrayList<>();
+
 	private final AtomicInteger connections = new AtomicInteger();
 
 	private final AtomicInteger running = new AtomicInteger();
@@ -87,6 +99,15 @@
 		return List.copyOf(this.received);
 	}
 
+	/**
+	 * Returns the {@code watch} requests whose connection the other side ended while they
+	 * ran.
+	 * @return their identifiers
+	 */
+	public synchronized List<String> cutOff() {
+		return List.copyOf(this.cutOff);
+	}
+
 	/**
 	 * Adds header fields to all further answers.
 	 * @param fields the fields, such as {@code Server-Limit: 5}; none to add no field
@@ -259,6 +280,32 @@
 				accepted.setSoLinger(true, 0);
 				return false;
 			}
+			case "closing" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+				return false;
+			}
+			case "unannounced" -> {
+				writeResponse(output, "200 OK", ownHeaders, body);
+				return false;
+			}
+			case "closing-reset" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+				accepted.setSoLinger(true, 0);
+				return false;
+			}
+			case "huge-closing" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, "x".repeat(HUGE_BODY_BYTES));
+				return false;
+			}
+			case "huge-unframed" -> {
+				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + "x".repeat(HUGE_BODY_BYTES));
+				return false;
+			}
+			case "last" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+				close();
+				return false;
+			}
 			case "lost" -> {
 				return false;
 			}
@@ -280,6 +327,13 @@
 					close();
 					return false;
 				}
+				if (behaviour.startsWith(WATCH_PREFIX)
+						&& !staysOpen(accepted, Integer.parseInt(behaviour.substring(WATCH_PREFIX.length())))) {
+					synchronized (this) {
+						this.cutOff.add(request.header("x-request-id"));
+					}
+					return false;
+				}
 				if (behaviour.startsWith("wait")) {
 					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("wait".length())));
 				}
@@ -289,6 +343,24 @@
 		return true;
 	}
 
+	/**
+	 * Waits for a time, or until the other side ends the connection. It sends nothing
+	 * before it has its answer.
+	 */
+	private static boolean staysOpen(Socket accepted, int millis) throws IOException {
+		accepted.setSoTimeout(millis);
+		try {
+			return accepted.getInputStream().read() >= 0;
+		}
+		catch (SocketTimeoutException ex) {
+			accepted.setSoTimeout(0);
+			return true;
+		}
+		catch (SocketException ex) {
+			return false;
+		}
+	}
+
 	private String responseHeaders(String requestId) {
 		return "X-Request-Id: " + requestId + "\r\nX-Response-Signature: signed\r\n" + this.statements;
 	}
