Log which calls the end of a home cuts off

Cause: a home whose end cuts calls off logs in_progress and afterwards, for some of them, call_cancelled (its own links close) or call_failed with target_crashed, because its probe of the target fails as the event loop shuts down. The log could not tell this from a target that crashed, and said nothing of bytes that still wait on links.

Change: call_cut with the request for each call that runs when the node ends; node_stopped says how many are requests of callers and calls, and how many bytes wait on links. No behaviour changes.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallLog.java
@@ -51,6 +51,11 @@
 				"late", late, "waited_ms", waitedMillis, "target_ms", targetMillis);
 	}
 
+	void cut(long sinceClaimMillis) {
+		this.trace.logAlways(LogEvent.CALL_CUT, "entry", this.entryVm, "target", this.head.target(), "idempotent",
+				this.head.idempotent(), "after_ms", sinceClaimMillis);
+	}
+
 	void cancelled(String state, long sinceReceiptMillis) {
 		this.trace.logAlways(LogEvent.CALL_CANCELLED, "entry", this.entryVm, "target", this.head.target(), "state",
 				state, "after_ms", sinceReceiptMillis);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -190,6 +190,14 @@
 		return this.queue.running() + this.queue.waiting();
 	}
 
+	/**
+	 * Logs the calls that run at the target. Called when the end of this node is about to
+	 * cut them off.
+	 */
+	void logCutCalls() {
+		this.running.forEach((call) -> call.log().cut(now() - call.claimedAtMillis()));
+	}
+
 	/**
 	 * Refuses new calls before this node stops. Waiting and running calls continue.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -136,7 +136,10 @@
 	CALL_DONE,
 
 	/** The entry node cancelled a call. */
-	CALL_CANCELLED;
+	CALL_CANCELLED,
+
+	/** The end of this node cut off a call that ran at the target. */
+	CALL_CUT;
 
 	private final int linesPerSecond;
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -161,9 +161,7 @@
 			}
 		}
 		sleep(FINAL_REFUSAL_MILLIS);
-		this.context.log()
-			.logNodeEvent(LogEvent.NODE_STOPPED, "in_progress", callOnTrafficLoop(this::inProgress), "took_ms",
-					this.context.now() - startedAtMillis);
+		callOnTrafficLoop(() -> logStopped(startedAtMillis));
 		close();
 	}
 
@@ -186,6 +184,15 @@
 					TimeUnit.MILLISECONDS);
 	}
 
+	private Void logStopped(long startedAtMillis) {
+		this.home.logCutCalls();
+		this.context.log()
+			.logNodeEvent(LogEvent.NODE_STOPPED, "in_progress", inProgress(), "requests", this.entry.activeRequests(),
+					"calls", this.home.callsInProgress(), "link_bytes", this.links.waitingBytes(), "took_ms",
+					this.context.now() - startedAtMillis);
+		return null;
+	}
+
 	private int inProgress() {
 		return this.home.callsInProgress() + this.entry.activeRequests();
 	}
