--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -194,6 +194,11 @@
 		return this.closer.register(new RawCaller(entry, entry.getAddress()));
 	}
 
+	RawCaller caller(String vm, int receiveBufferBytes) throws IOException {
+		InetSocketAddress entry = address(vm, this.entryPort);
+		return this.closer.register(new RawCaller(entry, entry.getAddress(), receiveBufferBytes));
+	}
+
 	/**
 	 * Asks a node whether it is ready.
 	 * @param vm the node's VM
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/RawCaller.java
@@ -42,12 +42,33 @@
 		this(new Socket(entry.getAddress(), entry.getPort(), localAddress, 0));
 	}
 
+	/**
+	 * Opens a connection that buffers little of what arrives.
+	 * @param entry the entry's address
+	 * @param localAddress local address to bind; the port is chosen by the system
+	 * @param receiveBufferBytes size of the system's receive buffer
+	 * @throws IOException if the connection cannot be opened
+	 */
+	public RawCaller(InetSocketAddress entry, InetAddress localAddress, int receiveBufferBytes) throws IOException {
+		this(connect(entry, localAddress, receiveBufferBytes));
+	}
+
 	private RawCaller(Socket socket) throws IOException {
 		this.socket = socket;
 		this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
 		this.input = new BufferedInputStream(this.socket.getInputStream());
 	}
 
+	private static Socket connect(InetSocketAddress entry, InetAddress localAddress, int receiveBufferBytes)
+			throws IOException {
+		Socket socket = new Socket();
+		// The size counts only when it is set before the connection is opened.
+		socket.setReceiveBufferSize(receiveBufferBytes);
+		socket.bind(new InetSocketAddress(localAddress, 0));
+		socket.connect(entry);
+		return socket;
+	}
+
 	/**
 	 * Sends text unchanged, encoded as US-ASCII.
 	 * @param text the text
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -25,8 +25,9 @@
 
 /**
  * Stands in for a server of the platform. The last segment of a request's path selects
- * the behaviour, for example {@code fail}, {@code truncated} or {@code wait100}; other
- * segments get a normal response. {@link #received} returns the requests that arrived.
+ * the behaviour, for example {@code fail}, {@code truncated}, {@code wait100} or
+ * {@code bytes5000}; other segments get a normal response. {@link #received} returns the
+ * requests that arrived.
  */
 public final class ServerStandIn implements AutoCloseable {
 
@@ -334,6 +335,9 @@
 					}
 					return false;
 				}
+				if (behaviour.startsWith("bytes")) {
+					body = "x".repeat(Integer.parseInt(behaviour.substring("bytes".length())));
+				}
 				if (behaviour.startsWith("wait")) {
 					TimeUnit.MILLISECONDS.sleep(Long.parseLong(behaviour.substring("wait".length())));
 				}
