Give each process that runs scenarios a loopback network of its own

Cause: two runs of the scenarios on one machine bound the same addresses and ports, so one of them failed. Change: the second byte of the addresses follows the process identifier. No check changes.

--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformWorld.java
@@ -39,6 +39,12 @@
 
 	private static final String IDEMPOTENT = "idempotent";
 
+	/**
+	 * Loopback network of this process, so that two runs of the scenarios on one machine
+	 * do not use the same addresses.
+	 */
+	private static final String NETWORK = "127." + (1 + ProcessHandle.current().pid() % 250) + ".7.";
+
 	/** Ports below those that the system gives to outgoing connections. */
 	private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
 
@@ -106,7 +112,7 @@
 	}
 
 	void add(String vm) throws IOException {
-		this.addresses.put(vm, "127.0.7." + (this.addresses.size() + 1));
+		this.addresses.put(vm, NETWORK + (this.addresses.size() + 1));
 		startServer(vm);
 		startNode(vm);
 		announce(vm, "ready");
