--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.proxy;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -72,6 +73,14 @@
 
 	private boolean outputShut;
 
+	/**
+	 * Whether an exception ends the connection that is none of the connection itself.
+	 */
+	private boolean exceptional;
+
+	/** Exchange whose response was last found not to be written; null if none. */
+	private Exchange unwritten;
+
 	private long idleSinceMillis;
 
 	private ScheduledFuture<?> headTimer;
@@ -102,6 +111,7 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
 			if (this.closing && this.receiving == null) {
+				logDropped(message);
 				return;
 			}
 			if (!(message instanceof HttpObject part)) {
@@ -132,14 +142,58 @@
 		List<Exchange> open = new ArrayList<>(this.exchanges);
 		this.exchanges.clear();
 		this.queuedParts.clear();
-		open.forEach(Exchange::callerDisconnected);
+		Optional<String> ownReason = ownEndReason();
+		open.forEach((exchange) -> exchange.disconnected(ownReason));
+	}
+
+	/**
+	 * Returns why this node ended the connection.
+	 * @return the reason as logged; empty if the caller ended it
+	 */
+	private Optional<String> ownEndReason() {
+		if (this.exceptional) {
+			return Optional.of("exception");
+		}
+		return this.channel.eventLoop().isShuttingDown() ? Optional.of("node_closed") : Optional.empty();
+	}
+
+	/**
+	 * Logs a request that arrives while the connection closes; it gets no answer.
+	 */
+	private void logDropped(Object message) {
+		if (message instanceof HttpRequest received && received.decoderResult().isSuccess()) {
+			CallerRequest request = CallerRequest.of(received, this.entry.context().names(),
+					this.entry.context().settings().service());
+			new RequestLog(this.entry.context().log(), request.id()).unanswered("closing");
+		}
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.exceptional = !(cause instanceof IOException);
+		this.entry.context()
+			.log()
+			.logNodeEvent(LogEvent.CALLER_CONNECTION_FAILED, "caller",
+					String.valueOf(context.channel().remoteAddress()), "requests", this.exchanges.size(), "cause",
+					String.valueOf(cause), "at", firstFrame(cause));
 		context.close();
 	}
 
+	/**
+	 * Logs that the end of a response that counted as complete was not written.
+	 */
+	private void logUnwritten(Exchange exchange) {
+		if (exchange.isComplete() && this.unwritten != exchange) {
+			this.unwritten = exchange;
+			new RequestLog(this.entry.context().log(), exchange.request().id()).unanswered("unwritten");
+		}
+	}
+
+	private static String firstFrame(Throwable cause) {
+		StackTraceElement[] frames = cause.getStackTrace();
+		return (frames.length > 0) ? frames[0].toString() : "";
+	}
+
 	/**
 	 * Closes the connection if it has exceeded the idle timeout by
 	 * {@link #IDLE_SLACK_MILLIS}.
@@ -343,7 +397,9 @@
 		this.channel.writeAndFlush(part.content()).addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
 				part.exchange().written(part.creditBytes());
+				return;
 			}
+			logUnwritten(part.exchange());
 		});
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -170,14 +170,14 @@
 	}
 
 	/**
-	 * Ends the request without a response and cancels its attempts.
+	 * Ends the request and cancels its attempts; no reason if its caller disconnected.
 	 */
-	void callerDisconnected() {
+	void disconnected(Optional<String> ownReason) {
 		this.body.complete();
 		if (this.ended) {
 			return;
 		}
-		this.log.cancelled(routeName(), ageMillis(), this.attempts.current() != null);
+		this.log.disconnected(ownReason, routeName(), ageMillis(), this.attempts.current() != null);
 		this.outcome = Outcome.CANCELLED;
 		this.attempts.cancel();
 		end();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -96,6 +96,9 @@
 	/** A target answered a request that had been running at a crash. */
 	SUSPECT_CLEARED(40),
 
+	/** A connection of a caller ended because of an exception. */
+	CALLER_CONNECTION_FAILED(10),
+
 	/** A request was matched to a route and admitted. */
 	REQUEST_ADMITTED,
 
@@ -123,6 +126,9 @@
 	/** A caller disconnected before the response was complete. */
 	REQUEST_CANCELLED,
 
+	/** This node ended the connection of a request without a complete answer. */
+	REQUEST_UNANSWERED,
+
 	/** A call is queued at the home until the target has a free slot. */
 	CALL_QUEUED,
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -1,6 +1,7 @@
 package org.eelgrasspitch.proxy;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.eelgrasspitch.mesh.Candidate;
@@ -130,10 +131,30 @@
 		}
 	}
 
-	void cancelled(String route, long afterMillis, boolean sent) {
+	private void cancelled(String route, long afterMillis, boolean sent) {
 		this.trace.logAlways(LogEvent.REQUEST_CANCELLED, "route", route, "after_ms", afterMillis, "sent", sent);
 	}
 
+	/**
+	 * Logs that the connection of a request ended without a complete answer.
+	 * @param ownReason why this node ended it; empty if the caller did
+	 * @param route name of its route; empty if it was not admitted
+	 * @param afterMillis time since the request arrived, in milliseconds
+	 * @param sent whether it was sent to a target
+	 */
+	void disconnected(Optional<String> ownReason, String route, long afterMillis, boolean sent) {
+		ownReason.ifPresentOrElse((reason) -> this.trace.logAlways(LogEvent.REQUEST_UNANSWERED, "reason", reason,
+				"route", route, "after_ms", afterMillis, "sent", sent), () -> cancelled(route, afterMillis, sent));
+	}
+
+	/**
+	 * Logs that a request gets no complete answer although it is not in progress.
+	 * @param reason the reason
+	 */
+	void unanswered(String reason) {
+		this.trace.logAlways(LogEvent.REQUEST_UNANSWERED, "reason", reason);
+	}
+
 	/**
 	 * The candidates of a choice, formatted only when the line is written.
 	 *
