Test stray answers and long payments on whole nodes; shorten a stand-in method

Change: the answers that end their connection have a method of their own; nothing else changes in them. Scenarios for a second answer just before the next payment, and for payments of 1.7 s of their 2 s while the home stops.

With these timeouts no payment runs into the end of the time to stop, so what happens there is not shown.

--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/GivenUpSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/GivenUpSteps.java
@@ -63,6 +63,16 @@
 		Assert.assertEquals(wrong, List.of(), wrong.size() + " of " + count);
 	}
 
+	@When("a caller at {word} sends POST {word} {int} times, each followed by POST {word} after {int} ms")
+	public void followed(String vm, String path, int times, String followingPath, int millis) {
+		PlatformWorld world = PlatformWorlds.current();
+		for (int i = 0; i < times; i++) {
+			send(world, vm, path, "first-" + i);
+			Cluster.sleep(millis);
+			send(world, vm, followingPath, "following-" + i);
+		}
+	}
+
 	@When("a caller at {word} sends POST {word}, and after {int} ms the node at {word} dies")
 	public void nodeDies(String vm, String path, int millis, String dying) {
 		PlatformWorld world = PlatformWorlds.current();
--- a/scenarios/src/test/resources/features/given-up.feature
+++ b/scenarios/src/test/resources/features/given-up.feature
@@ -66,3 +66,25 @@
       | 6000  | 0    |
       | 10000 | 0    |
       | 10000 | 2340 |
+
+  # Guards against payments that are given up because of bytes that belong to an earlier one.
+  Scenario Outline: A payment is not given up because of a second answer to an earlier one
+    Given servers with their nodes at desk-a pay-a
+    When a caller at desk-a sends POST /pay/<first> 10 times, each followed by POST /pay/watch300 after <after> ms
+    Then no request that started at pay-a ended with status 502 or without an answer
+
+    Examples:
+      | first | after |
+      | extra | 0     |
+      | extra | 20    |
+
+  # Guards against long payments that are cut off because the home stops.
+  Scenario Outline: A home that stops finishes payments that take nearly their whole timeout
+    Given servers with 60 slots, <stop> ms to stop and their nodes at desk-a pay-a
+    When the node at pay-a is told to stop, and from <from> ms on callers at desk-a send POST /pay/watch1700 every 40 ms until it has ended
+    Then no request that started at pay-a ended with status 502 or without an answer
+
+    Examples:
+      | stop  | from |
+      | 6000  | 1000 |
+      | 10000 | 2200 |
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -253,6 +253,9 @@
 			throws IOException, InterruptedException {
 		String ownHeaders = responseHeaders(request.header("x-request-id"));
 		String body = "from " + this.id;
+		if (endsConnection(accepted, output, behaviour, ownHeaders)) {
+			return false;
+		}
 		switch (behaviour) {
 			case "fail" -> writeResponse(output, "500 Internal Server Error", ownHeaders, body);
 			case "unsigned" ->
@@ -271,42 +274,6 @@
 				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 100\r\n\r\nfrom");
 				return false;
 			}
-			case "unframed" -> {
-				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
-				return false;
-			}
-			case "unframed-reset" -> {
-				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
-				TimeUnit.MILLISECONDS.sleep(50);
-				accepted.setSoLinger(true, 0);
-				return false;
-			}
-			case "closing" -> {
-				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
-				return false;
-			}
-			case "unannounced" -> {
-				writeResponse(output, "200 OK", ownHeaders, body);
-				return false;
-			}
-			case "closing-reset" -> {
-				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
-				accepted.setSoLinger(true, 0);
-				return false;
-			}
-			case "huge-closing" -> {
-				writeResponse(output, "200 OK", ownHeaders + CLOSE, "x".repeat(HUGE_BODY_BYTES));
-				return false;
-			}
-			case "huge-unframed" -> {
-				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + "x".repeat(HUGE_BODY_BYTES));
-				return false;
-			}
-			case "last" -> {
-				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
-				close();
-				return false;
-			}
 			case "lost" -> {
 				return false;
 			}
@@ -347,6 +314,40 @@
 		return true;
 	}
 
+	/**
+	 * Gives a whole answer and ends the connection, if the behaviour says so.
+	 * @return true if it does; the connection must be closed then
+	 */
+	private boolean endsConnection(Socket accepted, OutputStream output, String behaviour, String ownHeaders)
+			throws IOException, InterruptedException {
+		String body = "from " + this.id;
+		switch (behaviour) {
+			case "unframed" -> writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
+			case "unframed-reset" -> {
+				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
+				TimeUnit.MILLISECONDS.sleep(50);
+				accepted.setSoLinger(true, 0);
+			}
+			case "closing" -> writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+			case "unannounced" -> writeResponse(output, "200 OK", ownHeaders, body);
+			case "closing-reset" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+				accepted.setSoLinger(true, 0);
+			}
+			case "huge-closing" -> writeResponse(output, "200 OK", ownHeaders + CLOSE, "x".repeat(HUGE_BODY_BYTES));
+			case "huge-unframed" ->
+				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + "x".repeat(HUGE_BODY_BYTES));
+			case "last" -> {
+				writeResponse(output, "200 OK", ownHeaders + CLOSE, body);
+				close();
+			}
+			default -> {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	/**
 	 * Waits for a time, or until the other side ends the connection. It sends nothing
 	 * before it has its answer.
