Move two more answers of the server stand-in that end the connection

Change: move the broken-off and the missing answer to the method of those that end the connection. No behaviour changes.

--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -270,13 +270,6 @@
 				writeResponse(output, "200 OK", ownHeaders, body);
 			}
 			case "garbage" -> writeRaw(output, "this is no answer\r\n\r\n");
-			case "truncated" -> {
-				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 100\r\n\r\nfrom");
-				return false;
-			}
-			case "lost" -> {
-				return false;
-			}
 			case "crash" -> {
 				close();
 				return false;
@@ -315,13 +308,18 @@
 	}
 
 	/**
-	 * Gives a whole answer and ends the connection, if the behaviour says so.
+	 * Gives an answer, or none, and ends the connection, if the behaviour says so.
 	 * @return true if it does; the connection must be closed then
 	 */
 	private boolean endsConnection(Socket accepted, OutputStream output, String behaviour, String ownHeaders)
 			throws IOException, InterruptedException {
 		String body = "from " + this.id;
 		switch (behaviour) {
+			case "lost" -> {
+				// No answer.
+			}
+			case "truncated" ->
+				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 100\r\n\r\nfrom");
 			case "unframed" -> writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
 			case "unframed-reset" -> {
 				writeRaw(output, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\n" + body);
