Write the lines of an unfinished batch when the log closes

Cause: the log thread takes the first line of a batch from the queue and waits 100 ms for more. A process that ends meanwhile writes the queue, but not the line that was taken. Change: the batch belongs to the handler, and flush and close write it. Measured: lineThatWaitsForItsBatchIsWrittenAtTheClose failed before (nothing was written) and passes now.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/AsyncLogHandler.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/AsyncLogHandler.java
@@ -30,6 +30,9 @@
 
 	private final BlockingQueue<String> queuedLines;
 
+	/** Lines taken from the queue and not written yet; guarded by this object's lock. */
+	private final List<String> batch = new ArrayList<>();
+
 	/** Lines dropped since the last report in the log. */
 	private final AtomicLong dropped = new AtomicLong();
 
@@ -88,10 +91,10 @@
 	}
 
 	@Override
-	public void flush() {
-		List<String> batch = new ArrayList<>();
-		this.queuedLines.drainTo(batch);
-		print(batch);
+	public synchronized void flush() {
+		this.queuedLines.drainTo(this.batch);
+		print(this.batch);
+		this.batch.clear();
 	}
 
 	@Override
@@ -109,11 +112,12 @@
 	private void write() {
 		try {
 			while (true) {
-				List<String> batch = new ArrayList<>();
-				batch.add(this.queuedLines.take());
+				String first = this.queuedLines.take();
+				synchronized (this) {
+					this.batch.add(first);
+				}
 				TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
-				this.queuedLines.drainTo(batch);
-				print(batch);
+				flush();
 			}
 		}
 		catch (InterruptedException ex) {
@@ -121,8 +125,8 @@
 		}
 	}
 
-	private void print(List<String> batch) {
-		if (batch.isEmpty()) {
+	private void print(List<String> lines) {
+		if (lines.isEmpty()) {
 			return;
 		}
 		StringBuilder text = new StringBuilder();
@@ -130,7 +134,7 @@
 		if (droppedLines > 0) {
 			text.append("{\"event\":\"log_dropped\",\"lines\":").append(droppedLines).append("}\n");
 		}
-		batch.forEach((line) -> text.append(line).append('\n'));
+		lines.forEach((line) -> text.append(line).append('\n'));
 		byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
 		this.output.write(bytes, 0, bytes.length);
 		this.output.flush();
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
@@ -42,6 +42,17 @@
 		Assert.assertTrue(text.contains("\"event\":\"y\""));
 	}
 
+	// Guards against a last line, such as that of the stop, that ends with the process.
+	@Test
+	public void lineThatWaitsForItsBatchIsWrittenAtTheClose() throws InterruptedException {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		AsyncLogHandler handler = new AsyncLogHandler(new PrintStream(written, true), CAPACITY);
+		handler.publish(new LogRecord(Level.INFO, "{\"event\":\"last\"}"));
+		TimeUnit.MILLISECONDS.sleep(30);
+		handler.close();
+		Assert.assertEquals(written.toString(StandardCharsets.UTF_8), "{\"event\":\"last\"}\n");
+	}
+
 	/**
 	 * Blocks every write until it is released.
 	 */
