Answer the requests that are left when the time to stop ends

What callers saw: their connections closed without an answer or a refusal, though some of their requests had only waited at a home. Cause: a node whose time to stop was over closed with requests in progress and told them nothing. Homes kept calls in their queues that they could not finish, and started some of them moments before their end. Change: shortly before the close each request gets a final response, 503 if it has certainly not run. A request that is admitted during the stop has its deadline bounded by that moment, so a home that cannot serve it by then refuses it at once. A home refuses what it cannot finish before its own end, also a call whose entry node permits the start too late. An entry node is not told whether an idempotent request has started at its home, so 504, which promises nothing, is the answer that is true; for requests that may run once only the check is as before.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
@@ -64,6 +64,9 @@
 
 	private int running;
 
+	/** Monotonic time in milliseconds by which requests must have ended. */
+	private long endAtMillis = Long.MAX_VALUE;
+
 	private long nextSequence;
 
 	/**
@@ -85,6 +88,14 @@
 		this.pacer.setLimit(perSecond, namedAfterMillis, now);
 	}
 
+	/**
+	 * Sets the time by which requests must have ended, because their home closes then.
+	 * @param newEndAtMillis the time, in monotonic milliseconds
+	 */
+	public void setEnd(long newEndAtMillis) {
+		this.endAtMillis = newEndAtMillis;
+	}
+
 	/**
 	 * Adds a request, which starts, waits or is refused.
 	 * @param job the request
@@ -93,7 +104,8 @@
 	 * @return requests to start and requests that are refused
 	 */
 	public Decision<T> offer(Job<T> job, int slots, long now) {
-		if (this.running < slots && this.waiting.isEmpty() && this.pacer.permits(now) > 0) {
+		boolean endsInTime = now + job.expectedMillis() <= this.endAtMillis;
+		if (this.running < slots && this.waiting.isEmpty() && this.pacer.permits(now) > 0 && endsInTime) {
 			this.running++;
 			this.pacer.recordStarts(1, now);
 			return new Decision<>(List.of(job.work()), List.of());
@@ -154,7 +166,8 @@
 			boolean missesObjective = !entry.meetsObjective(now + (long) startDelayMillis);
 			boolean missesDeadline = starts ? entry.job.deadlineAtMillis() <= now
 					: !entry.meetsDeadline(now + (long) startDelayMillis);
-			if (missesDeadline
+			boolean missesEnd = now + (long) startDelayMillis + entry.job.expectedMillis() > this.endAtMillis;
+			if (missesDeadline || missesEnd
 					|| (!starts && missesObjective && lateRequests >= maxLateRequests(entry.job, slots, now))) {
 				refused.add(new Refusal<>(entry.job.work(), Math.max(MIN_RETRY_AFTER_MILLIS, (long) startDelayMillis)));
 				continue;
@@ -315,14 +328,14 @@
 	 */
 	private record QueuedJob<T>(Job<T> job, long sequence) {
 
-		boolean meetsObjective(long startAtMillis) {
-			return startAtMillis + OBJECTIVE_MARGIN * this.job.expectedMillis() <= this.job.objectiveAtMillis();
-		}
-
 		boolean meetsDeadline(long startAtMillis) {
 			return startAtMillis + this.job.expectedMillis() <= this.job.deadlineAtMillis();
 		}
 
+		boolean meetsObjective(long startAtMillis) {
+			return startAtMillis + OBJECTIVE_MARGIN * this.job.expectedMillis() <= this.job.objectiveAtMillis();
+		}
+
 	}
 
 }
--- a/core/src/test/java/org/eelgrasspitch/mesh/TargetQueueTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/TargetQueueTests.java
@@ -70,6 +70,19 @@
 		Assert.assertTrue(atOnce > 0, "some requests are refused within 30 ms");
 	}
 
+	@Test
+	public void workThatItsHomeCannotFinishBeforeItClosesIsRefusedAtOnce() {
+		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
+		queue.offer(new Job<>("running", 1, 9_000, 9_000, 100), 1, 0);
+		queue.offer(new Job<>("waiting", 1, 9_000, 9_000, 400), 1, 0);
+		queue.setEnd(500);
+		Assert.assertTrue(queue.offer(new Job<>("second", 1, 9_000, 9_000, 400), 1, 50).refusal("second").isPresent());
+		Assert.assertEquals(queue.waiting(), 1);
+		Assert.assertTrue(queue.release(1, 150).refusal("waiting").isPresent(), "starts too late to end in time");
+		Assert.assertTrue(queue.offer(new Job<>("late", 1, 9_000, 9_000, 400), 1, 150).refusal("late").isPresent());
+		Assert.assertEquals(queue.offer(new Job<>("short", 1, 9_000, 9_000, 300), 1, 150).started(), List.of("short"));
+	}
+
 	@Test
 	public void onlyWaitingWorkCanBeRemoved() {
 		TargetQueue<String> queue = new TargetQueue<>(new StartPacer(StartPacer.DEFAULT_SETTLE_MILLIS));
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Admission.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Admission.java
@@ -15,8 +15,9 @@
  * milliseconds; 0 for a nested call
  * @param deadlineAtMillis monotonic time in milliseconds at which the entry node gives up
  * unless a response has started: the end of the route's timeout, or
- * {@link #RESPONSE_MARGIN_MILLIS} before the caller stops waiting if that is earlier; in
- * the past if the caller allows less than the margin
+ * {@link #RESPONSE_MARGIN_MILLIS} before the caller stops waiting if that is earlier, or
+ * the end of this node if it is stopping; in the past if the caller allows less than the
+ * margin
  * @param objectiveAtMillis monotonic time in milliseconds after which a response is late;
  * the route's objective counts from the caller's estimated first send
  */
@@ -41,7 +42,7 @@
 		// indicate a retry.
 		long elapsed = nestedCall ? 0 : entry.estimateElapsedMillis(route, allowed);
 		return new Admission(route, entry.selectService(route), nestedCall, allowed, elapsed,
-				now + Math.min(allowed - RESPONSE_MARGIN_MILLIS, route.timeoutMillis()),
+				entry.boundDeadline(now + Math.min(allowed - RESPONSE_MARGIN_MILLIS, route.timeoutMillis())),
 				now + route.objectiveMillis() - elapsed);
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -223,6 +223,14 @@
 		}
 	}
 
+	/**
+	 * Gives each request in progress a final response, because this node is about to
+	 * close.
+	 */
+	void answerBeforeClose() {
+		List.copyOf(this.exchanges).forEach(Exchange::answerBeforeClose);
+	}
+
 	/**
 	 * Returns how many bytes of responses wait to be sent.
 	 * @return the number of bytes; 0 if the connection is closed
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryServer.java
@@ -106,6 +106,13 @@
 		return (int) this.connections.stream().filter(CallerConnection::isOutputShut).count();
 	}
 
+	/**
+	 * Gives each request in progress a final response.
+	 */
+	void answerBeforeClose() {
+		List.copyOf(this.connections).forEach(CallerConnection::answerBeforeClose);
+	}
+
 	/**
 	 * Returns how many bytes of responses wait to be sent to callers.
 	 * @return the number on all connections, in bytes
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -36,6 +36,9 @@
 	/** Time for which a target is skipped after another one answered at its address. */
 	private static final long DISPLACED_TARGET_MILLIS = 3_000;
 
+	/** Minimum time left before the deadline for a retry to be worth sending. */
+	private static final long MIN_RETRY_MILLIS = 40;
+
 	/** Maximum number of routes whose longest allowed time is tracked. */
 	private static final int MAX_TRACKED_ROUTES = 2_048;
 
@@ -145,6 +148,16 @@
 		this.stop = begun;
 	}
 
+	/**
+	 * Bounds the deadline of an admitted request by the end of this node, so that a home
+	 * that cannot serve it by then refuses it at once.
+	 * @param deadlineAtMillis monotonic time of its own deadline in milliseconds
+	 * @return the earlier of both
+	 */
+	long boundDeadline(long deadlineAtMillis) {
+		return isStopping() ? Math.min(deadlineAtMillis, this.stop.answersAtMillis()) : deadlineAtMillis;
+	}
+
 	int activeRequests() {
 		return this.activeRequests;
 	}
@@ -310,6 +323,31 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request may be sent to another target. If so and the failed
+	 * attempt reached its target, this consumes one retry of the budget.
+	 * @param admission decisions made on the request
+	 * @param attempts its attempts so far
+	 * @param failure how the latest one failed
+	 * @param reachedTargetCount number of attempts that reached their target
+	 * @return true if a further attempt may be made
+	 */
+	boolean tryAcquireRetry(Admission admission, Attempts attempts, CallFailure failure, int reachedTargetCount) {
+		MeshRoute route = admission.route();
+		if (failure.mayHaveRun() && !route.idempotent()) {
+			return false;
+		}
+		if (!failure.reachedTarget()) {
+			return attempts.mayTryAnother();
+		}
+		boolean notRun = !admission.nestedCall() && !failure.mayHaveRun();
+		return reachedTargetCount < route.maxAttempts()
+				&& this.context.now() + MIN_RETRY_MILLIS < admission.deadlineAtMillis()
+				&& hasAvailableTarget(route.name(), admission.service(), attempts.triedTargets())
+				&& tryAcquireRetry(admission.service(),
+						notRun ? FleetRetryBudget.Purpose.NOT_RUN : FleetRetryBudget.Purpose.FAILED);
+	}
+
 	boolean tryAcquireRetry(String service, FleetRetryBudget.Purpose purpose) {
 		return this.retryBudget.tryAcquire(service, this.links.estimateNodeCount(), purpose, this.context.now());
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -38,9 +38,6 @@
 	/** Maximum time that a request waits for a link to open. */
 	private static final long LINK_WAIT_MILLIS = 400;
 
-	/** Minimum time left before the deadline for a retry to be worth sending. */
-	private static final long MIN_RETRY_MILLIS = 40;
-
 	private final EntryService entry;
 
 	private final CallerConnection connection;
@@ -293,25 +290,9 @@
 		giveUp();
 	}
 
-	/**
-	 * Returns whether the request may be sent to another target. If so and the failed
-	 * attempt reached its target, this consumes one retry of the budget.
-	 */
 	private boolean tryAcquireRetry(CallFailure failure, int reachedTargetCount) {
-		if (this.body.isStreamed() || (failure.mayHaveRun() && !route().idempotent())) {
-			return false;
-		}
-		if (!failure.reachedTarget()) {
-			return this.attempts.mayTryAnother();
-		}
-		long now = now();
-		return reachedTargetCount < route().maxAttempts() && now + MIN_RETRY_MILLIS < this.admission.deadlineAtMillis()
-				&& this.entry.hasAvailableTarget(route().name(), this.admission.service(), this.attempts.triedTargets())
-				&& this.entry.tryAcquireRetry(this.admission.service(), purpose(failure));
-	}
-
-	private Purpose purpose(CallFailure failure) {
-		return (!this.admission.nestedCall() && !failure.mayHaveRun()) ? Purpose.NOT_RUN : Purpose.FAILED;
+		return !this.body.isStreamed()
+				&& this.entry.tryAcquireRetry(this.admission, this.attempts, failure, reachedTargetCount);
 	}
 
 	private void giveUp() {
@@ -331,10 +312,24 @@
 		if (this.ended || this.attempts.hasResponseHead()) {
 			return;
 		}
+		endAttempts("timeout");
+	}
+
+	/**
+	 * Ends the request with a final response, because this node is about to close. A
+	 * response that the caller is receiving already continues.
+	 */
+	void answerBeforeClose() {
+		if (!this.ended && !this.responseStarted) {
+			endAttempts("stopping");
+		}
+	}
+
+	private void endAttempts(String reason) {
 		boolean definitelyNotRun = this.attempts.haveDefinitelyNotRun();
 		this.attempts.cancel();
 		if (definitelyNotRun) {
-			unavailable("timeout");
+			unavailable(reason);
 			return;
 		}
 		fail(HttpResponseStatus.GATEWAY_TIMEOUT);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -10,6 +10,7 @@
 import org.eelgrasspitch.mesh.NestedCallRates;
 import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.StartPacer;
+import org.eelgrasspitch.mesh.StopSequence;
 import org.eelgrasspitch.mesh.TargetDirectory;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.mesh.TargetLoad;
@@ -81,6 +82,9 @@
 	/** Whether this node is about to stop. */
 	private boolean leaving;
 
+	/** Whether this node is about to close, so that no call may start any more. */
+	private boolean closing;
+
 	/** Moving average of the share of failed calls, 0 to 1, since the target's start. */
 	private double failureShare;
 
@@ -152,6 +156,15 @@
 		}
 	}
 
+	/**
+	 * Refuses the waiting calls, and those whose entry nodes permit the start later,
+	 * because this node is about to close.
+	 */
+	void refuseUnstarted() {
+		this.closing = true;
+		refuseWaiting();
+	}
+
 	/**
 	 * Refuses the waiting calls of a leaving target; other targets can serve them.
 	 */
@@ -198,6 +211,15 @@
 		this.running.forEach((call) -> call.log().cut(now() - call.claimedAtMillis()));
 	}
 
+	/**
+	 * Begins the stop of this node. Calls that cannot be served before its end are
+	 * refused at once.
+	 * @param begun the stop
+	 */
+	void beginStop(StopSequence begun) {
+		this.queue.setEnd(begun.answersAtMillis());
+	}
+
 	/**
 	 * Refuses new calls before this node stops. Waiting and running calls continue.
 	 */
@@ -447,6 +469,11 @@
 	 * @param call the call
 	 */
 	void startPermitted(HomeCall call) {
+		if (this.closing) {
+			refuse(call, FailureReason.LEAVING, UNAVAILABLE_RETRY_AFTER_MILLIS);
+			releaseSlot();
+			return;
+		}
 		this.running.add(call);
 		this.nestedCallRates.recordRun();
 		this.context.metrics().callStarted(now() - call.receivedAtMillis());
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
@@ -74,6 +74,7 @@
 			.logNodeEvent(LogEvent.NODE_STOPPING, "calls", this.home.callsInProgress(), "requests",
 					this.entry.activeRequests());
 		this.entry.beginStop(this.stop);
+		this.home.beginStop(this.stop);
 		this.check = this.context.loop()
 			.scheduleAtFixedRate(this::advance, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -92,9 +93,10 @@
 			return;
 		}
 		switch (this.stage) {
-			case LEAVING, REFUSING, ANSWERING -> {
+			case LEAVING, REFUSING -> {
 				// Both roles ask the sequence, or were told above, what they accept.
 			}
+			case ANSWERING -> answer();
 			case CLOSING -> endConnections();
 			case CLOSED -> finish();
 		}
@@ -106,6 +108,11 @@
 				this.server.waitingBytes() + this.links.waitingBytes(), ended);
 	}
 
+	private void answer() {
+		this.home.refuseUnstarted();
+		this.server.answerBeforeClose();
+	}
+
 	private void endConnections() {
 		this.server.stopAccepting();
 		this.links.endConnections();
