--- a/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
@@ -1,12 +1,12 @@
 package org.eelgrasspitch.proxy;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
@@ -25,21 +25,20 @@
 
 	@Test(timeOut = 10_000)
 	public void blockedOutputDoesNotBlockLoggersAndDroppedLinesAreCounted() throws InterruptedException {
-		CountDownLatch released = new CountDownLatch(1);
-		ByteArrayOutputStream written = new ByteArrayOutputStream();
-		AsyncLogHandler handler = new AsyncLogHandler(new PrintStream(new BlockedOutput(released, written), true),
-				CAPACITY);
+		BlockedOutput output = new BlockedOutput();
+		AsyncLogHandler handler = new AsyncLogHandler(new PrintStream(output, true), CAPACITY);
+		handler.publish(new LogRecord(Level.INFO, "{\"event\":\"first\"}"));
+		output.entered.await();
 		for (int i = 0; i < LINES; i++) {
 			handler.publish(new LogRecord(Level.INFO, "{\"event\":\"x\"}"));
 		}
-		Assert.assertTrue(handler.dropped() >= LINES - 3 * CAPACITY, "dropped: " + handler.dropped());
-		released.countDown();
-		TimeUnit.MILLISECONDS.sleep(500);
+		Assert.assertEquals(handler.dropped(), LINES - CAPACITY);
+		output.released.countDown();
+		Assert.assertEquals(output.written.take(), "{\"event\":\"first\"}\n");
+		Assert.assertEquals(output.written.take(), "{\"event\":\"log_dropped\",\"lines\":" + (LINES - CAPACITY) + "}\n"
+				+ "{\"event\":\"x\"}\n".repeat(CAPACITY));
 		handler.publish(new LogRecord(Level.INFO, "{\"event\":\"y\"}"));
-		TimeUnit.MILLISECONDS.sleep(500);
-		String text = written.toString(StandardCharsets.UTF_8);
-		Assert.assertTrue(text.contains("\"event\":\"log_dropped\",\"lines\":"), "dropped lines are reported");
-		Assert.assertTrue(text.contains("\"event\":\"y\""));
+		Assert.assertEquals(output.written.take(), "{\"event\":\"y\"}\n");
 	}
 
 	// Guards against a last line, such as that of the stop, that ends with the process.
@@ -58,14 +57,13 @@
 	 */
 	private static final class BlockedOutput extends OutputStream {
 
-		private final CountDownLatch released;
+		/** Counted down by the first write. */
+		private final CountDownLatch entered = new CountDownLatch(1);
 
-		private final OutputStream output;
+		private final CountDownLatch released = new CountDownLatch(1);
 
-		BlockedOutput(CountDownLatch released, OutputStream output) {
-			this.released = released;
-			this.output = output;
-		}
+		/** The text of each write. */
+		private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
 
 		@Override
 		public void write(int single) throws IOException {
@@ -74,13 +72,14 @@
 
 		@Override
 		public void write(byte[] bytes, int offset, int length) throws IOException {
+			this.entered.countDown();
 			try {
 				this.released.await();
 			}
 			catch (InterruptedException ex) {
 				throw new IOException(ex);
 			}
-			this.output.write(bytes, offset, length);
+			this.written.add(new String(bytes, offset, length, StandardCharsets.UTF_8));
 		}
 
 	}
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/TargetStatementFaultTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/TargetStatementFaultTests.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -48,6 +49,8 @@
 
 	private static final long DEADLINE_MILLIS = 2_000;
 
+	private static final long TIMEOUT_SECONDS = 10;
+
 	/** Monotonic times of arrivals at the target, in milliseconds. */
 	private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
 
@@ -107,7 +110,7 @@
 		long namedAt = nameLimit();
 		List<CallHandle> cutOff = send(40, SETTLE_MILLIS);
 		// A lost link cancels its calls; after the cut all of them are sent again.
-		cutOff.forEach((call) -> this.loop.execute(call::cancel));
+		this.loop.execute(() -> cutOff.forEach(CallHandle::cancel));
 		sleep(1_000);
 		for (int i = 0; i < 60; i++) {
 			submit();
@@ -119,7 +122,7 @@
 	@Test
 	public void nodeThatWakesLateReachesNoTargetThatSaidItIsLeaving() throws Exception {
 		this.statement = "Leaving: 1\r\n";
-		submit();
+		awaitEnd(submit());
 		sleep(DRAIN_MILLIS);
 		int before = this.arrivals.size();
 		Assert.assertEquals(before, 1);
@@ -134,8 +137,7 @@
 	@Test
 	public void frozenHomeSendsNothingThatWaitedToATargetThatSaidItIsLeaving() throws Exception {
 		this.statement = "Leaving: 1\r\n";
-		submit();
-		sleep(200);
+		awaitEnd(submit());
 		this.loop.execute(() -> sleep(DRAIN_MILLIS));
 		sleep(DRAIN_MILLIS + 300);
 		int before = this.arrivals.size();
@@ -148,8 +150,7 @@
 
 	private long nameLimit() throws Exception {
 		this.statement = "Limit: " + LIMIT_PER_SECOND + "\r\n";
-		submit();
-		sleep(100);
+		awaitEnd(submit());
 		return this.time.monotonicMillis();
 	}
 
@@ -158,14 +159,25 @@
 		List<CallHandle> calls = new ArrayList<>();
 		long end = this.time.monotonicMillis() + millis;
 		while (this.time.monotonicMillis() < end) {
-			this.loop.execute(() -> calls.add(this.home.submit(head(), "vm-2", new Listener(this.refused))));
+			this.loop.execute(() -> calls.add(this.home.submit(head(), "vm-2", listener())));
 			sleep(1_000 / perSecond);
 		}
 		return calls;
 	}
 
-	private void submit() {
-		this.loop.execute(() -> this.home.submit(head(), "vm-2", new Listener(this.refused)));
+	/** Sends a call and returns what is completed when it ends. */
+	private CompletableFuture<Void> submit() {
+		Listener listener = listener();
+		this.loop.execute(() -> this.home.submit(head(), "vm-2", listener));
+		return listener.ended();
+	}
+
+	private Listener listener() {
+		return new Listener(this.refused, new CompletableFuture<>());
+	}
+
+	private static void awaitEnd(CompletableFuture<Void> ended) throws Exception {
+		ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 	}
 
 	private void assertLimitKept(long namedAt) {
@@ -235,11 +247,12 @@
 	}
 
 	/**
-	 * Counts refusals.
+	 * Counts refusals and tells when a call has ended.
 	 *
 	 * @param refused number of calls that were refused
+	 * @param ended completed when the response is complete or the call has failed
 	 */
-	private record Listener(AtomicInteger refused) implements CallListener {
+	private record Listener(AtomicInteger refused, CompletableFuture<Void> ended) implements CallListener {
 
 		@Override
 		public void startRequested() {
@@ -254,6 +267,9 @@
 		@Override
 		public void data(byte[] content, boolean last) {
 			Assert.assertEquals(content.length, 0);
+			if (last) {
+				this.ended.complete(null);
+			}
 		}
 
 		@Override
@@ -262,10 +278,11 @@
 		}
 
 		@Override
-		public void failed(CallFailure ended) {
-			if (!ended.mayHaveRun()) {
+		public void failed(CallFailure failure) {
+			if (!failure.mayHaveRun()) {
 				this.refused.incrementAndGet();
 			}
+			this.ended.completeExceptionally(new IllegalStateException(failure.toString()));
 		}
 
 	}
