Decide the node daemon's stop from all that it has accepted

Cause: Node.leave read two counters, each kept by one component. HomeService.inFlight falls before the reply, and before the report of a death, which takes up to a second; and it rises after the check that the node is not leaving, so a home could accept a request after the node had found nothing in progress. A request that waits for the confirmation of the text was in neither counter.

Change: AcceptedWork holds an item for each request of either role, from before the check whether the node accepts until its answer has been handed over, and the node closes when it is empty. Accepting ends for both roles in one step, before the first check, and no longer depends on the control thread, whose mailbox may be full. An item is begun before the check, so either the check refuses or the stop sees the item.

--- a/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
@@ -49,8 +49,12 @@
 			return context;
 		}
 		CallerRequest request = parsed.get();
+		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.handle(request, (reply) -> HttpResponses.send(context, request.requestId(), reply));
+			entry.handle(request, (reply) -> {
+				HttpResponses.send(context, request.requestId(), reply);
+				item.end();
+			});
 			return context;
 		});
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
@@ -59,12 +58,6 @@
 
 	private final HashedWheelTimer timer;
 
-	/**
-	 * Number of requests handled by an {@link EntryCall} that have no reply yet; deferred
-	 * requests are not counted.
-	 */
-	private final AtomicInteger activeRequests = new AtomicInteger();
-
 	/** Receives the revisions that callers know to be in force; 0 for unknown. */
 	private final LongConsumer revisionListener;
 
@@ -88,8 +81,11 @@
 	 * @param callback receives the reply exactly once
 	 */
 	void handle(CallerRequest request, Consumer<EntryReply> callback) {
-		long now = now();
-		if (this.context.state().deferUntilConfirmed(() -> handle(request, callback), now)) {
+		if (this.context.isLeaving()) {
+			callback.accept(refusal(Reason.LEAVING, request));
+			return;
+		}
+		if (this.context.state().deferUntilConfirmed(() -> handle(request, callback), now())) {
 			return;
 		}
 		this.revisionListener.accept(request.knownRevision());
@@ -98,10 +94,6 @@
 			callback.accept(refusal(Reason.NOT_READY, request));
 			return;
 		}
-		if (this.context.state().lifecycle().isLeaving()) {
-			callback.accept(refusal(Reason.LEAVING, request));
-			return;
-		}
 		Optional<Route> route = snapshot.get().route(request.route());
 		if (route.isEmpty()) {
 			callback.accept(invalid(NOT_FOUND, ErrorType.NO_ROUTE, request.route(), snapshot.get().version()));
@@ -111,11 +103,7 @@
 			callback.accept(invalid(PRECONDITION_REQUIRED, ErrorType.TICKET_REQUIRED, request.route()));
 			return;
 		}
-		this.activeRequests.incrementAndGet();
-		new EntryCall(this, snapshot.get(), route.get(), request, (reply) -> {
-			callback.accept(reply);
-			this.activeRequests.decrementAndGet();
-		}).start();
+		new EntryCall(this, snapshot.get(), route.get(), request, callback).start();
 	}
 
 	/**
@@ -218,15 +206,6 @@
 		};
 	}
 
-	/**
-	 * Returns the number of requests handled by an {@link EntryCall} that have no reply
-	 * yet; deferred requests are not counted.
-	 * @return the number
-	 */
-	int activeRequests() {
-		return this.activeRequests.get();
-	}
-
 	private void updateVms(VmList list) {
 		synchronized (this.targetSelector) {
 			this.targetSelector.update(list, now());
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -97,11 +97,17 @@
 		if (route.isEmpty() || !request.route().service().equals(this.context.settings().service())) {
 			return refuse(callback, Reason.NO_ROUTE);
 		}
-		PendingRequest pending = new PendingRequest(request, route.get(), now() + request.remainingMillis(), callback);
+		AcceptedWork.Item item = this.context.work().begin();
+		Consumer<CallOutcome> answer = (outcome) -> {
+			callback.accept(outcome);
+			item.end();
+		};
 		boolean atMostOnce = route.get().operation().kind() == OperationKind.AT_MOST_ONCE;
-		if (atMostOnce && !this.records.claim(request, callback)) {
+		if (atMostOnce && !this.records.claim(request, answer)) {
 			return NO_OP;
 		}
+		PendingRequest pending = new PendingRequest(request, route.get(), now() + request.remainingMillis(), item,
+				answer);
 		if (isQuarantined(request)) {
 			complete(pending, new CallOutcome.Unknown(Reason.QUARANTINED));
 			return NO_OP;
@@ -227,7 +233,7 @@
 	}
 
 	private boolean isLeaving() {
-		return this.targetLeaving || now() < this.statedLeavingUntil || this.context.state().lifecycle().isLeaving();
+		return this.targetLeaving || now() < this.statedLeavingUntil || this.context.isLeaving();
 	}
 
 	private boolean isQuarantined(CallMessage.Request request) {
@@ -327,7 +333,10 @@
 			wasQueued = this.queue.remove(pending);
 		}
 		Call call = pending.call;
-		if (!wasQueued && call != null) {
+		if (wasQueued) {
+			pending.item.end();
+		}
+		else if (call != null) {
 			call.cancel();
 		}
 	}
@@ -362,15 +371,20 @@
 		/** Deadline, in monotonic milliseconds. */
 		private final long deadlineAt;
 
+		/** The work that the request is. */
+		private final AcceptedWork.Item item;
+
 		private final Consumer<CallOutcome> callback;
 
 		/** The call to the target; null until it is sent. */
 		private volatile Call call;
 
-		PendingRequest(CallMessage.Request request, Route route, long deadlineAt, Consumer<CallOutcome> callback) {
+		PendingRequest(CallMessage.Request request, Route route, long deadlineAt, AcceptedWork.Item item,
+				Consumer<CallOutcome> callback) {
 			this.request = request;
 			this.route = route;
 			this.deadlineAt = deadlineAt;
+			this.item = item;
 			this.callback = callback;
 		}
 
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -56,8 +56,6 @@
 
 	private final HomeService home;
 
-	private final EntryService entry;
-
 	private final ControlLoop control;
 
 	private Node(NodeSettings settings, TimeSource time, RandomGenerator random, Closer closer) {
@@ -66,7 +64,7 @@
 		NodeState state = new NodeState(settings.pauseMillis(), now);
 		NodeMetrics metrics = new NodeMetrics();
 		this.context = new NodeContext(settings, time, random.nextLong(1, Long.MAX_VALUE), now, state, metrics,
-				new ObjectiveRecorder(time, metrics), new EventLog(time));
+				new ObjectiveRecorder(time, metrics), new EventLog(time), new AcceptedWork());
 		Peer self = new Peer(settings.vm(), settings.failureDomain(), settings.advertisedAddress(),
 				this.context.incarnation());
 		FleetSettings fleet = FleetSettings.of(self, settings.seeds(), settings.distribution())
@@ -81,7 +79,7 @@
 		DeathReporter deaths = new DeathReporter(this.context, calls, timer);
 		this.home = new HomeService(this.context, target, deaths, random);
 		metrics.registerHomeGauges(this.home);
-		this.entry = new EntryService(this.context, this.home, calls, timer, this::reportRevision, random);
+		EntryService entry = new EntryService(this.context, this.home, calls, timer, this::reportRevision, random);
 		PeerTransport transport = this.closer.register(new PeerTransport(self, PEER_THREADS,
 				new PeerListener(this.context, this.control, calls, this.home, this::reportRevision),
 				this.context.metrics()));
@@ -92,8 +90,8 @@
 		this.control.start(transport, platform);
 		this.closer.register(this.control);
 		startTargetTimers(target);
-		startHttpServer(CallerHttpApi.create(this.entry), settings.callerAddress());
-		startHttpServer(OperatorHttpApi.create(this.context, this.control, this.home, this.entry),
+		startHttpServer(CallerHttpApi.create(entry), settings.callerAddress());
+		startHttpServer(OperatorHttpApi.create(this.context, this.control, this.home, entry),
 				settings.operatorAddress());
 	}
 
@@ -125,12 +123,13 @@
 	}
 
 	/**
-	 * Shuts down gracefully: refuses new requests, notifies peers, waits for requests in
-	 * flight up to the drain limit and stops the node. Blocks until the node has stopped:
+	 * Shuts down gracefully: refuses new requests, notifies peers, waits for accepted
+	 * work up to the drain limit and stops the node. Blocks until the node has stopped:
 	 * at most about the larger of {@code drainMillis} and 1 second, plus the time to
 	 * close.
 	 */
 	public void leave() {
+		this.context.work().endAccepting();
 		this.control.post(new FleetEvent.LeaveRequested());
 		long now = this.context.time().monotonicMillis();
 		long drainDeadlineAt = now + this.context.settings().drainMillis();
@@ -160,8 +159,7 @@
 	}
 
 	private boolean isBusy() {
-		return this.context.state().lifecycle() != LifecycleState.LEAVING || this.home.inFlight() > 0
-				|| this.entry.activeRequests() > 0;
+		return this.context.state().lifecycle() != LifecycleState.LEAVING || this.context.work().count() > 0;
 	}
 
 	private static void sleepDrainPollInterval() {
--- a/node/src/main/java/org/eelgrasspitch/node/NodeContext.java
+++ b/node/src/main/java/org/eelgrasspitch/node/NodeContext.java
@@ -14,9 +14,10 @@
  * @param metrics metrics of the node
  * @param objectives counts of good and bad requests per operation
  * @param log event log
+ * @param work work that the node has accepted and not finished
  */
 record NodeContext(NodeSettings settings, TimeSource time, long incarnation, long startedAt, NodeState state,
-		NodeMetrics metrics, ObjectiveRecorder objectives, EventLog log) {
+		NodeMetrics metrics, ObjectiveRecorder objectives, EventLog log, AcceptedWork work) {
 
 	private static final int EXIT_BROKEN_INVARIANT = 70;
 
@@ -28,6 +29,15 @@
 		return this.time.monotonicMillis() - this.startedAt;
 	}
 
+	/**
+	 * Returns whether this node refuses new requests because it leaves. A request that
+	 * must not be missed by the stop of the node begins an item of work before it asks.
+	 * @return true once it does
+	 */
+	boolean isLeaving() {
+		return !this.work.isAccepting() || this.state.lifecycle().isLeaving();
+	}
+
 	/**
 	 * Halts the process because an invariant is violated and its state can no longer be
 	 * trusted.
--- /dev/null
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -0,0 +1,75 @@
+package org.eelgrasspitch.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.eelgrasspitch.misc.Digest;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Reason;
+import org.eelgrasspitch.text.RouteKey;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A node that stops and still owes answers.
+ */
+public class NodeStopTests {
+
+	/** The shortest time that a node takes to stop. */
+	private static final int MIN_STOP_MILLIS = 1_000;
+
+	/** Longer than any stop here. */
+	private static final int LONG_MILLIS = 6_000;
+
+	/** How long the report of a death waits for other nodes. */
+	private static final int REPORT_MILLIS = 1_000;
+
+	/** Time in which a request reaches the node. */
+	private static final int ARRIVE_MILLIS = 300;
+
+	private StoppingNode node;
+
+	@AfterMethod(alwaysRun = true)
+	public void close() {
+		if (this.node != null) {
+			this.node.close();
+		}
+	}
+
+	// The report waits a second for the other node of the service, which does not
+	// respond.
+	@Test
+	public void reportOfADeathIsBrokenOffAndItsReplyMayBeLost() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, true);
+		this.node.targetMillis = MIN_STOP_MILLIS;
+		this.node.targetHangsUp = true;
+		long sentAt = System.nanoTime();
+		CompletableFuture<CallMessage> reply = this.node.call(read("crash"));
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		Assert.assertTrue(
+				outcome(reply) instanceof CallOutcome.Unknown unknown && unknown.reason() == Reason.ANSWER_LOST,
+				"outcome: " + outcome(reply));
+		long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+		Assert.assertTrue(tookMillis >= MIN_STOP_MILLIS + REPORT_MILLIS, "broken off after " + tookMillis + " ms");
+	}
+
+	private static CallMessage.Request read(String id) {
+		return new CallMessage.Request(1, id, new RouteKey("desk", "read"), 2 * LONG_MILLIS, Optional.empty(),
+				Optional.of(Digest.of(id.getBytes())), List.of(), new byte[0], 1);
+	}
+
+	private static CallOutcome outcome(CompletableFuture<CallMessage> reply) throws Exception {
+		CallMessage message = reply.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS);
+		return (message instanceof CallMessage.Reply got) ? got.outcome() : null;
+	}
+
+	private static void pause(long millis) throws InterruptedException {
+		TimeUnit.MILLISECONDS.sleep(millis);
+	}
+
+}
