Answer what is unfinished when the node daemon's time to stop is over

What callers could see: the connection ended without a response, for a request that ran as for one that only waited; an entry node whose home stopped took a request that had only waited there for one that may have run.

Cause: at the end of drainMillis the node closed with whatever was in progress (node_drained with in_flight above 0).

Change: the node follows StopSchedule. The home refuses what waits, after it has taken it out of its queue, as not run, and says "unknown" for what it has given to the target. The entry node says "not run" only if the attempt never left the process, and for a payment only if the caller says that it is the first attempt; otherwise "unknown". Nothing is retried after that. The latest item answers first, so that a request whose home is its entry node gets the home's answer.

--- a/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
+++ b/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
@@ -1,6 +1,9 @@
 package org.eelgrasspitch.node;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -8,7 +11,8 @@
  * the node is decided from this state only.
  * <p>
  * Work is added before it is checked whether the node still accepts. So once accepting
- * has ended and no item is left, no request is accepted that the check has missed.
+ * has ended and no item is left, no request is accepted that the check has missed. When
+ * the time to stop is over, each item sends its last answer.
  * <p>
  * Thread-safe.
  */
@@ -19,6 +23,8 @@
 
 	private volatile boolean accepting = true;
 
+	private volatile boolean timeOver;
+
 	/**
 	 * Adds an item.
 	 * @return the item, to be ended when its answer has been handed over
@@ -41,21 +47,71 @@
 		this.accepting = false;
 	}
 
+	/**
+	 * Tells whether nothing new may be started because the time to stop is over.
+	 * @return true once {@link #sendLastAnswers} was called
+	 */
+	boolean isTimeOver() {
+		return this.timeOver;
+	}
+
 	synchronized int count() {
 		return this.items.size();
 	}
 
+	/**
+	 * Sends the last answer of each unfinished item. The latest item is first: a request
+	 * that this node runs for a caller of its own is answered as home before it is
+	 * answered as entry node, because the home knows whether it has run.
+	 */
+	void sendLastAnswers() {
+		List<Item> unfinished;
+		synchronized (this) {
+			this.timeOver = true;
+			unfinished = new ArrayList<>(this.items);
+		}
+		Collections.reverse(unfinished);
+		unfinished.forEach(Item::sendLastAnswer);
+	}
+
 	/**
 	 * One piece of accepted work.
 	 */
 	final class Item {
 
+		/** Guarded by the lock of {@link AcceptedWork}. */
+		private Runnable lastAnswer = () -> {
+		};
+
+		/**
+		 * Sets the last answer in place of the previous one; it is sent at once if the
+		 * time to stop is over.
+		 * @param answer sends the answer unless another one was sent
+		 */
+		void setLastAnswer(Runnable answer) {
+			synchronized (AcceptedWork.this) {
+				this.lastAnswer = answer;
+				if (!AcceptedWork.this.timeOver) {
+					return;
+				}
+			}
+			answer.run();
+		}
+
 		void end() {
 			synchronized (AcceptedWork.this) {
 				AcceptedWork.this.items.remove(this);
 			}
 		}
 
+		private void sendLastAnswer() {
+			Runnable answer;
+			synchronized (AcceptedWork.this) {
+				answer = this.lastAnswer;
+			}
+			answer.run();
+		}
+
 	}
 
 }
--- a/node/src/main/java/org/eelgrasspitch/node/CallClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallClient.java
@@ -111,8 +111,10 @@
 		/**
 		 * Cancels the call: its callback is no longer called, and the other node is
 		 * notified if the call was sent.
+		 * @return true if the call was not sent and will not be; false if it may have
+		 * been
 		 */
-		void cancel();
+		boolean cancel();
 
 	}
 
@@ -201,13 +203,14 @@
 			unanswered.forEach((callback) -> callback.failed(new CallOutcome.Unknown(Reason.HOME_UNREACHABLE)));
 		}
 
-		void cancel(long callNumber) {
+		boolean cancel(long callNumber) {
 			synchronized (this) {
-				this.queuedCalls.removeIf((call) -> call.callNumber() == callNumber);
+				boolean wasQueued = this.queuedCalls.removeIf((call) -> call.callNumber() == callNumber);
 				Optional<Callback> callback = Optional.ofNullable(this.sentCallbacks.remove(callNumber));
 				if (callback.isPresent() && this.connection != null) {
 					this.connection.send(new Frame.Call(new CallMessage.Cancel(callNumber)));
 				}
+				return wasQueued;
 			}
 		}
 
--- a/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
@@ -51,7 +51,7 @@
 		CallerRequest request = parsed.get();
 		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.handle(request, (reply) -> {
+			entry.handle(request, item, (reply) -> {
 				HttpResponses.send(context, request.requestId(), reply);
 				item.end();
 			});
--- a/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
@@ -71,7 +71,9 @@
 	/** Receives the outcome of the latest attempt; null before the first. */
 	private volatile OnceConsumer<CallOutcome> currentAttempt;
 
-	/** Sends the reply at the deadline unless one was sent before. */
+	/**
+	 * Sends the reply at the deadline unless one was sent before; null before the start.
+	 */
 	private Timeout deadlineTimer;
 
 	/**
@@ -94,6 +96,9 @@
 	}
 
 	void start() {
+		if (this.callback.isDone()) {
+			return;
+		}
 		this.deadlineTimer = this.entry.schedule(remainingMillis(), this::deadlinePassed);
 		this.entry.budget().recordRequest();
 		if (!isAtMostOnce()) {
@@ -146,7 +151,8 @@
 		if (outcome instanceof CallOutcome.Unknown unknown && unknown.reason() == Reason.ANSWER_LOST) {
 			this.abortedAttempts++;
 		}
-		boolean retry = remainingMillis() > 0 && RetryPolicy.tryAcquireRetry(this.route.operation().kind(), outcome,
+		boolean timeLeft = remainingMillis() > 0 && !this.entry.context().work().isTimeOver();
+		boolean retry = timeLeft && RetryPolicy.tryAcquireRetry(this.route.operation().kind(), outcome,
 				this.triedVms.size(), this.abortedAttempts, this.entry.budget());
 		if (retry) {
 			this.entry.context().metrics().countRetry();
@@ -156,6 +162,18 @@
 		sendReply(outcome);
 	}
 
+	/**
+	 * Sends the last reply, because the node's time to stop is over. Says that this call
+	 * has not run the request only if its attempt has certainly not left this process.
+	 */
+	void timeOver() {
+		CallClient.PendingCall call = this.pendingCall;
+		boolean notSent = call != null && call.cancel();
+		sendReply(notSent
+				? OutcomeClaim.refused(Reason.LEAVING, RETRY_AFTER_MILLIS, isAtMostOnce(), this.request.firstAttempt())
+				: new CallOutcome.Unknown(Reason.LEAVING));
+	}
+
 	private void deadlinePassed() {
 		this.mayHaveRun = true;
 		sendReply(new CallOutcome.Unknown(Reason.DEADLINE_PASSED));
@@ -170,7 +188,7 @@
 	}
 
 	private void sendReply(CallOutcome outcome) {
-		if (!(outcome instanceof CallOutcome.Late)) {
+		if (!(outcome instanceof CallOutcome.Late) && this.deadlineTimer != null) {
 			this.deadlineTimer.cancel();
 		}
 		if (this.lateTimer != null) {
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -78,14 +78,23 @@
 	 * being confirmed or after a pause of the process is deferred. The time for which it
 	 * is deferred does not count towards its deadline.
 	 * @param request the request
+	 * @param item the accepted work that the request is; ended by the caller of this
+	 * method once the reply is sent
 	 * @param callback receives the reply exactly once
 	 */
-	void handle(CallerRequest request, Consumer<EntryReply> callback) {
+	void handle(CallerRequest request, AcceptedWork.Item item, Consumer<EntryReply> callback) {
+		OnceConsumer<EntryReply> once = new OnceConsumer<>(callback);
+		item.setLastAnswer(() -> once.accept(refusal(Reason.LEAVING, request)));
+		continueUnlessDeferred(request, item, once);
+	}
+
+	private void continueUnlessDeferred(CallerRequest request, AcceptedWork.Item item,
+			OnceConsumer<EntryReply> callback) {
 		if (this.context.isLeaving()) {
 			callback.accept(refusal(Reason.LEAVING, request));
 			return;
 		}
-		if (this.context.state().deferUntilConfirmed(() -> handle(request, callback), now())) {
+		if (this.context.state().deferUntilConfirmed(() -> continueUnlessDeferred(request, item, callback), now())) {
 			return;
 		}
 		this.revisionListener.accept(request.knownRevision());
@@ -103,7 +112,10 @@
 			callback.accept(invalid(PRECONDITION_REQUIRED, ErrorType.TICKET_REQUIRED, request.route()));
 			return;
 		}
-		new EntryCall(this, snapshot.get(), route.get(), request, callback).start();
+		EntryCall call = new EntryCall(this, snapshot.get(), route.get(), request, callback);
+		// Before the start: from then on the request may run.
+		item.setLastAnswer(call::timeOver);
+		call.start();
 	}
 
 	/**
@@ -194,7 +206,10 @@
 			case CallMessage.Request request -> {
 				Runnable cancel = this.home.handle(request, (outcome) -> callback
 					.replied(new CallMessage.Reply(0, outcome, this.context.state().revision())));
-				return cancel::run;
+				return () -> {
+					cancel.run();
+					return false;
+				};
 			}
 			case CallMessage.TicketQuery query -> callback.replied(this.home.tickets(query));
 			case CallMessage.OutcomeQuery query -> callback
@@ -202,8 +217,7 @@
 			case CallMessage other ->
 				throw new IllegalStateException("message cannot be handled by the local node: " + other);
 		}
-		return () -> {
-		};
+		return () -> false;
 	}
 
 	private void updateVms(VmList list) {
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -108,6 +109,7 @@
 		}
 		PendingRequest pending = new PendingRequest(request, route.get(), now() + request.remainingMillis(), item,
 				answer);
+		item.setLastAnswer(() -> timeOver(pending));
 		if (isQuarantined(request)) {
 			complete(pending, new CallOutcome.Unknown(Reason.QUARANTINED));
 			return NO_OP;
@@ -341,7 +343,22 @@
 		}
 	}
 
+	/**
+	 * Sends the last answer: a refusal if the request waits, which it then does no
+	 * longer.
+	 */
+	private void timeOver(PendingRequest pending) {
+		boolean wasQueued;
+		synchronized (this) {
+			wasQueued = this.queue.remove(pending);
+		}
+		complete(pending, wasQueued ? refusal(Reason.LEAVING) : new CallOutcome.Unknown(Reason.LEAVING));
+	}
+
 	private void complete(PendingRequest pending, CallOutcome outcome) {
+		if (!pending.ended.compareAndSet(false, true)) {
+			return;
+		}
 		pending.request.ticket().ifPresent((ticket) -> this.records.end(ticket, outcome));
 		pending.callback.accept(outcome);
 	}
@@ -376,6 +393,9 @@
 
 		private final Consumer<CallOutcome> callback;
 
+		/** True once the outcome is known. */
+		private final AtomicBoolean ended = new AtomicBoolean();
+
 		/** The call to the target; null until it is sent. */
 		private volatile Call call;
 
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -14,7 +14,6 @@
 import org.eelgrasspitch.fleet.FleetEvent;
 import org.eelgrasspitch.fleet.FleetMember;
 import org.eelgrasspitch.fleet.FleetSettings;
-import org.eelgrasspitch.fleet.LifecycleState;
 import org.eelgrasspitch.fleet.Peer;
 import org.eelgrasspitch.misc.Closer;
 import org.eelgrasspitch.misc.TimeSource;
@@ -44,8 +43,6 @@
 	 */
 	private static final String SHUTDOWN_HOOK_PROPERTY = "jooby.useShutdownHook";
 
-	private static final long MIN_DRAIN_MILLIS = 1_000;
-
 	private static final long TIMER_TICK_MILLIS = 10;
 
 	private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
@@ -124,22 +121,28 @@
 
 	/**
 	 * Shuts down gracefully: refuses new requests, notifies peers, waits for accepted
-	 * work up to the drain limit and stops the node. Blocks until the node has stopped:
-	 * at most about the larger of {@code drainMillis} and 1 second, plus the time to
-	 * close.
+	 * work up to the drain limit, answers what is unfinished then and stops the node.
+	 * Blocks until the node has stopped: at most about the larger of {@code drainMillis}
+	 * and 1 second, plus the time to write the last answers and to close.
 	 */
 	public void leave() {
-		this.context.work().endAccepting();
+		AcceptedWork work = this.context.work();
+		work.endAccepting();
 		this.control.post(new FleetEvent.LeaveRequested());
-		long now = this.context.time().monotonicMillis();
-		long drainDeadlineAt = now + this.context.settings().drainMillis();
-		long earliestEndAt = now + MIN_DRAIN_MILLIS;
-		do {
+		StopSchedule schedule = new StopSchedule(this.context.time().monotonicMillis(),
+				this.context.settings().drainMillis());
+		StopSchedule.Step step = StopSchedule.Step.WAIT;
+		while (step != StopSchedule.Step.CLOSE) {
 			sleepDrainPollInterval();
-			now = this.context.time().monotonicMillis();
+			step = schedule.next(this.context.time().monotonicMillis(), this.context.state().lifecycle().isLeaving(),
+					work.count());
+			if (step == StopSchedule.Step.SEND_LAST_ANSWERS) {
+				this.context.log().warn("last_answers", Field.of("unfinished", work.count()));
+				work.sendLastAnswers();
+			}
 		}
-		while (now < earliestEndAt || (now < drainDeadlineAt && isBusy()));
-		this.context.log().info("node_drained", Field.of("in_flight", this.home.inFlight()));
+		this.context.log()
+			.info("node_drained", Field.of("in_flight", this.home.inFlight()), Field.of("unfinished", work.count()));
 		this.control.post(new FleetEvent.Drained());
 		close();
 	}
@@ -158,10 +161,6 @@
 		}
 	}
 
-	private boolean isBusy() {
-		return this.context.state().lifecycle() != LifecycleState.LEAVING || this.context.work().count() > 0;
-	}
-
 	private static void sleepDrainPollInterval() {
 		try {
 			TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_INTERVAL_MILLIS);
--- a/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -40,6 +40,56 @@
 		}
 	}
 
+	// The caller's connection was closed without a response.
+	@Test
+	public void requestInProgressAtTheEndIsToldNothing() throws Exception {
+		this.node = new StoppingNode(0, false);
+		this.node.targetMillis = LONG_MILLIS;
+		CompletableFuture<String> response = this.node.request("GET", StoppingNode.READ, "q1");
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		assertResponse(response, "504", "Request-Ran: unknown");
+	}
+
+	// A request that the target has certainly not got was not refused.
+	@Test
+	public void waitingRequestIsNotRefusedAtTheEnd() throws Exception {
+		this.node = new StoppingNode(0, false);
+		this.node.targetMillis = LONG_MILLIS;
+		this.node.request("GET", StoppingNode.READ, "q1");
+		pause(ARRIVE_MILLIS);
+		CompletableFuture<String> response = this.node.request("GET", StoppingNode.READ, "q2");
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		assertResponse(response, "503", "Request-Ran: no");
+	}
+
+	// The entry node of such a request saw only that the connection ended.
+	@Test
+	public void waitingRequestOfAnotherNodeIsNotRefusedAtTheEnd() throws Exception {
+		this.node = new StoppingNode(0, false);
+		this.node.targetMillis = LONG_MILLIS;
+		this.node.request("GET", StoppingNode.READ, "q1");
+		pause(ARRIVE_MILLIS);
+		CompletableFuture<CallMessage> reply = this.node.call(read("q2"));
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		Assert.assertTrue(outcome(reply) instanceof CallOutcome.NotRun notRun && notRun.reason() == Reason.LEAVING,
+				"outcome: " + outcome(reply));
+	}
+
+	// The home of the ticket has not answered the connection, so nothing was sent to it.
+	@Test
+	public void paymentThatWasNotSentIsNotRefusedAtTheEnd() throws Exception {
+		assertResponse(payAtTheEnd(1), "503", "Request-Ran: no");
+	}
+
+	// What became of the first attempt is not known here.
+	@Test
+	public void resentPaymentIsSaidNotToHaveRunAtTheEnd() throws Exception {
+		assertResponse(payAtTheEnd(2), "504", "Request-Ran: unknown");
+	}
+
 	// The report waits a second for the other node of the service, which does not
 	// respond.
 	@Test
@@ -58,6 +108,15 @@
 		Assert.assertTrue(tookMillis >= MIN_STOP_MILLIS + REPORT_MILLIS, "broken off after " + tookMillis + " ms");
 	}
 
+	private CompletableFuture<String> payAtTheEnd(int attempt) throws Exception {
+		this.node = new StoppingNode(0, false);
+		CompletableFuture<String> response = this.node.request("POST", StoppingNode.FAR_PAY, "p1",
+				"Request-Ticket: " + this.node.farTicket(), "Request-Attempt: " + attempt);
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		return response;
+	}
+
 	private static CallMessage.Request read(String id) {
 		return new CallMessage.Request(1, id, new RouteKey("desk", "read"), 2 * LONG_MILLIS, Optional.empty(),
 				Optional.of(Digest.of(id.getBytes())), List.of(), new byte[0], 1);
@@ -68,6 +127,13 @@
 		return (message instanceof CallMessage.Reply got) ? got.outcome() : null;
 	}
 
+	private static void assertResponse(CompletableFuture<String> response, String status, String header)
+			throws Exception {
+		String text = response.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS);
+		Assert.assertTrue(text.startsWith("HTTP/1.1 " + status), "response: " + text);
+		Assert.assertTrue(text.toLowerCase().contains(header.toLowerCase()), "response: " + text);
+	}
+
 	private static void pause(long millis) throws InterruptedException {
 		TimeUnit.MILLISECONDS.sleep(millis);
 	}
