Let the node daemon's stop wait for queries of tickets and outcomes

What callers could see: the connection ended without a response to a query for tickets, or for the outcome of a payment.

Cause: neither kind of query was counted. A query for tickets takes up to three attempts of 500 ms, one for an outcome up to a second, and a node with nothing else to do closes a second after its signal. Queries were also accepted until the end.

Change: each query is an item of accepted work. A node that leaves refuses queries for tickets as not run, like requests. It still answers queries for outcomes: "unknown" would be taken for the outcome of a payment that runs.

Failed before (on the parent): NodeStopTests.ticketQueryIsCutOff and outcomeQueryIsCutOff, each with an empty response.

After: tests of the module 44 of 44.

--- a/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
@@ -66,8 +66,12 @@
 			.filter((text) -> text.matches("\\d{1,3}"))
 			.map(Integer::valueOf)
 			.orElse(DEFAULT_TICKET_COUNT);
+		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.tickets(route, count, (tickets) -> HttpResponses.sendTickets(context, tickets));
+			entry.tickets(route, count, item, (tickets) -> {
+				HttpResponses.sendTickets(context, tickets);
+				item.end();
+			});
 			return context;
 		});
 	}
@@ -79,8 +83,12 @@
 			HttpResponses.sendProblem(context, Problem.of(ErrorType.BAD_TICKET, Position.UNKNOWN, "outcome path"));
 			return context;
 		}
+		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.outcome(ticket.get(), (outcome) -> HttpResponses.send(context, outcome, ticket));
+			entry.outcome(ticket.get(), item, (outcome) -> {
+				HttpResponses.send(context, outcome, ticket);
+				item.end();
+			});
 			return context;
 		});
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -122,25 +122,37 @@
 	 * Obtains tickets for at-most-once requests from the node of a selected target.
 	 * @param key the operation
 	 * @param count number of tickets; the home issues at least 1 and at most 100
-	 * @param callback receives the tickets or the refusal
+	 * @param item the accepted work that the query is; ended by the caller of this method
+	 * once the tickets or the refusal are sent
+	 * @param callback receives the tickets or the refusal exactly once
 	 */
-	void tickets(RouteKey key, int count, Consumer<CallMessage.Tickets> callback) {
+	void tickets(RouteKey key, int count, AcceptedWork.Item item, Consumer<CallMessage.Tickets> callback) {
+		OnceConsumer<CallMessage.Tickets> once = new OnceConsumer<>(callback);
+		item.setLastAnswer(() -> once.accept(TicketCall.refusal(Reason.LEAVING)));
+		if (this.context.isLeaving()) {
+			once.accept(TicketCall.refusal(Reason.LEAVING));
+			return;
+		}
 		Optional<Route> route = this.context.state().snapshot().flatMap((snapshot) -> snapshot.route(key));
 		if (route.isEmpty()) {
-			callback.accept(new CallMessage.Tickets(0, List.of(), Optional.of(Reason.NO_ROUTE)));
+			once.accept(TicketCall.refusal(Reason.NO_ROUTE));
 			return;
 		}
-		new TicketCall(this, route.get(), key, count, callback).startAttempt();
+		new TicketCall(this, route.get(), key, count, once).startAttempt();
 	}
 
 	/**
-	 * Queries the outcome of an at-most-once request from the home of its ticket.
+	 * Queries the outcome of an at-most-once request from the home of its ticket. A node
+	 * that leaves answers too: "unknown" would be taken for the outcome.
 	 * @param ticket the ticket of the request
+	 * @param item the accepted work that the query is; ended by the caller of this method
+	 * once the outcome is sent
 	 * @param callback receives the outcome exactly once; {@link CallOutcome.Late} while
 	 * the request is running; unknown if the home cannot be reached in time
 	 */
-	void outcome(Ticket ticket, Consumer<CallOutcome> callback) {
+	void outcome(Ticket ticket, AcceptedWork.Item item, Consumer<CallOutcome> callback) {
 		OnceConsumer<CallOutcome> once = new OnceConsumer<>(callback);
+		item.setLastAnswer(() -> once.accept(new CallOutcome.Unknown(Reason.LEAVING)));
 		send(ticket.home(), ticket.address(), (call) -> new CallMessage.OutcomeQuery(call, ticket),
 				new OutcomeCallback(once, Reason.HOME_UNREACHABLE));
 		schedule(OUTCOME_QUERY_TIMEOUT_MILLIS, () -> once.accept(new CallOutcome.Unknown(Reason.HOME_UNREACHABLE)));
--- a/node/src/main/java/org/eelgrasspitch/node/TicketCall.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TicketCall.java
@@ -77,7 +77,12 @@
 		this.callback.accept(refusal(reason));
 	}
 
-	private static CallMessage.Tickets refusal(Reason reason) {
+	/**
+	 * Creates a refusal to issue tickets.
+	 * @param reason why there are none
+	 * @return the refusal
+	 */
+	static CallMessage.Tickets refusal(Reason reason) {
 		return new CallMessage.Tickets(0, List.of(), Optional.of(reason));
 	}
 
--- a/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -90,6 +90,26 @@
 		assertResponse(payAtTheEnd(2), "504", "Request-Ran: unknown");
 	}
 
+	// The nodes of the service do not respond, which is known after three attempts.
+	@Test
+	public void ticketQueryIsCutOff() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		CompletableFuture<String> response = this.node.request("POST", StoppingNode.FAR_TICKETS, "t1");
+		pause(ARRIVE_MILLIS / 3);
+		this.node.leave();
+		assertResponse(response, "503", "Request-Ran: no");
+	}
+
+	// The home of the ticket does not respond, which is known after a second.
+	@Test
+	public void outcomeQueryIsCutOff() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		this.node.leave();
+		pause(MIN_STOP_MILLIS / 2);
+		CompletableFuture<String> response = this.node.request("GET", "/-/outcomes/" + this.node.farTicket(), "o1");
+		assertResponse(response, "504", "Request-Ran: unknown");
+	}
+
 	// The report waits a second for the other node of the service, which does not
 	// respond.
 	@Test
