Let the node daemon's stop wait until its responses are written

What callers could see: a response cut off in the middle, at a caller or on a link that takes it slowly.

Cause: a request counted as finished when its response was handed to the HTTP library, which drops what it has not written when it is stopped. Responses of up to 1 MiB fit into the buffers of the system on loopback; the test needs several.

Change: an item of accepted work ends when the last byte of its response has been written, or cannot be. The library reports that only for a stream, by closing it, so bodies are sent as a channel. Ruled out: Context.onComplete (called when the response is handed over, by its bytecode); Sender (three separate writes, between which a response to the next request could begin); an input stream (the library applies the caller's Range header to it: status 206, found by CallerResponseTests). If the connection has ended the library refuses a stream; then the bytes are handed over as before and the item ends.

The cost for each response was not measured.

Open: replies on the connections between nodes end their item when they are handed over, because PeerConnection (module wire) reports nothing about its writes.

--- a/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
+++ b/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
@@ -27,7 +27,7 @@
 
 	/**
 	 * Adds an item.
-	 * @return the item, to be ended when its answer has been handed over
+	 * @return the item, to be ended when its answer has been written
 	 */
 	synchronized Item begin() {
 		Item item = new Item();
--- a/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
@@ -18,7 +18,8 @@
  * {@code /-/tickets/{service}/{operation}} issues as many tickets as the query parameter
  * {@code count} says, 1 if it is absent or not a number of 1 to 3 digits; the home issues
  * at least 1 and at most 100. {@code GET} on {@code /-/outcomes/{ticket}} returns the
- * outcome of an at-most-once request. No handler blocks its event loop thread.
+ * outcome of an at-most-once request. No handler blocks its event loop thread. Each
+ * request is an item of accepted work until its response has been written.
  */
 final class CallerHttpApi {
 
@@ -44,17 +45,14 @@
 
 	private static Object request(EntryService entry, Context context) throws Exception {
 		Either<Problem, CallerRequest> parsed = CallerRequestParser.parse(context);
+		AcceptedWork.Item item = entry.context().work().begin();
 		if (parsed.isLeft()) {
-			HttpResponses.sendProblem(context, parsed.getLeft());
+			HttpResponses.sendProblem(context, parsed.getLeft(), item::end);
 			return context;
 		}
 		CallerRequest request = parsed.get();
-		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.handle(request, item, (reply) -> {
-				HttpResponses.send(context, request.requestId(), reply);
-				item.end();
-			});
+			entry.handle(request, item, (reply) -> HttpResponses.send(context, request.requestId(), reply, item::end));
 			return context;
 		});
 	}
@@ -68,10 +66,7 @@
 			.orElse(DEFAULT_TICKET_COUNT);
 		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.tickets(route, count, item, (tickets) -> {
-				HttpResponses.sendTickets(context, tickets);
-				item.end();
-			});
+			entry.tickets(route, count, item, (tickets) -> HttpResponses.sendTickets(context, tickets, item::end));
 			return context;
 		});
 	}
@@ -79,16 +74,14 @@
 	private static Object outcome(EntryService entry, Context context) throws Exception {
 		String encodedTicket = context.path("ticket").value();
 		Optional<Ticket> ticket = Ticket.parse(encodedTicket);
+		AcceptedWork.Item item = entry.context().work().begin();
 		if (ticket.isEmpty()) {
-			HttpResponses.sendProblem(context, Problem.of(ErrorType.BAD_TICKET, Position.UNKNOWN, "outcome path"));
+			HttpResponses.sendProblem(context, Problem.of(ErrorType.BAD_TICKET, Position.UNKNOWN, "outcome path"),
+					item::end);
 			return context;
 		}
-		AcceptedWork.Item item = entry.context().work().begin();
 		return context.detach((detached) -> {
-			entry.outcome(ticket.get(), item, (outcome) -> {
-				HttpResponses.send(context, outcome, ticket);
-				item.end();
-			});
+			entry.outcome(ticket.get(), item, (outcome) -> HttpResponses.send(context, outcome, ticket, item::end));
 			return context;
 		});
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -79,7 +79,7 @@
 	 * is deferred does not count towards its deadline.
 	 * @param request the request
 	 * @param item the accepted work that the request is; ended by the caller of this
-	 * method once the reply is sent
+	 * method once the reply is written
 	 * @param callback receives the reply exactly once
 	 */
 	void handle(CallerRequest request, AcceptedWork.Item item, Consumer<EntryReply> callback) {
@@ -123,7 +123,7 @@
 	 * @param key the operation
 	 * @param count number of tickets; the home issues at least 1 and at most 100
 	 * @param item the accepted work that the query is; ended by the caller of this method
-	 * once the tickets or the refusal are sent
+	 * once the tickets or the refusal are written
 	 * @param callback receives the tickets or the refusal exactly once
 	 */
 	void tickets(RouteKey key, int count, AcceptedWork.Item item, Consumer<CallMessage.Tickets> callback) {
@@ -146,7 +146,7 @@
 	 * that leaves answers too: "unknown" would be taken for the outcome.
 	 * @param ticket the ticket of the request
 	 * @param item the accepted work that the query is; ended by the caller of this method
-	 * once the outcome is sent
+	 * once the outcome is written
 	 * @param callback receives the outcome exactly once; {@link CallOutcome.Late} while
 	 * the request is running; unknown if the home cannot be reached in time
 	 */
--- a/node/src/main/java/org/eelgrasspitch/node/HttpResponses.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HttpResponses.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.node;
 
+import java.io.ByteArrayInputStream;
+import java.nio.channels.Channels;
 import java.util.List;
 import java.util.Optional;
 
@@ -22,7 +24,8 @@
  * the headers {@code Request-Ran} ({@code no}, {@code unknown} or {@code running}) and
  * {@code Request-Resend}; a refusal and a late reply also carry {@code Retry-After}. The
  * JSON body of these responses repeats the same information. A response of the target
- * carries {@code Request-Ran: yes}.
+ * carries {@code Request-Ran: yes}. Every method calls {@code written} once the response
+ * has been written to the connection, or cannot be.
  */
 final class HttpResponses {
 
@@ -44,77 +47,104 @@
 	private HttpResponses() {
 	}
 
-	static void send(Context context, String requestId, EntryReply reply) {
+	static void send(Context context, String requestId, EntryReply reply, Runnable written) {
 		context.setResponseHeader(CallerRequestParser.REQUEST_ID_HEADER, requestId);
 		switch (reply) {
 			case EntryReply.WithOutcome withOutcome -> {
 				context.setResponseHeader(CallerRequestParser.VERSION_HEADER, Long.toString(withOutcome.revision()));
-				send(context, withOutcome.outcome(), withOutcome.ticket());
+				send(context, withOutcome.outcome(), withOutcome.ticket(), written);
 			}
-			case EntryReply.Invalid invalid -> sendProblem(context, invalid.status(), invalid.problem());
+			case EntryReply.Invalid invalid -> sendProblem(context, invalid.status(), invalid.problem(), written);
 		}
 	}
 
-	static void send(Context context, CallOutcome outcome, Optional<Ticket> ticket) {
+	static void send(Context context, CallOutcome outcome, Optional<Ticket> ticket, Runnable written) {
 		ticket.ifPresent((issued) -> context.setResponseHeader("Location", outcomePath(issued)));
 		switch (outcome) {
-			case CallOutcome.Answered answered -> sendTargetResponse(context, answered);
+			case CallOutcome.Answered answered -> sendTargetResponse(context, answered, written);
 			case CallOutcome.NotRun notRun -> {
 				setRetryAfter(context, notRun.retryAfterMillis());
-				sendNonTargetResponse(context, SERVICE_UNAVAILABLE, new NonTargetResponse(
-						EnumNames.lowerCase(notRun.reason()), "no", true, notRun.retryAfterMillis(), Optional.empty()));
+				sendNonTargetResponse(context, SERVICE_UNAVAILABLE,
+						new NonTargetResponse(EnumNames.lowerCase(notRun.reason()), "no", true,
+								notRun.retryAfterMillis(), Optional.empty()),
+						written);
 			}
 			case CallOutcome.Unknown unknown -> sendNonTargetResponse(context, GATEWAY_TIMEOUT,
 					new NonTargetResponse(EnumNames.lowerCase(unknown.reason()), "unknown", false, 0,
-							ticket.map(HttpResponses::outcomePath)));
+							ticket.map(HttpResponses::outcomePath)),
+					written);
 			case CallOutcome.Late late -> {
 				setRetryAfter(context, late.askAfterMillis());
 				sendNonTargetResponse(context, ACCEPTED, new NonTargetResponse("late", "running", false,
-						late.askAfterMillis(), ticket.map(HttpResponses::outcomePath)));
+						late.askAfterMillis(), ticket.map(HttpResponses::outcomePath)), written);
 			}
 		}
 	}
 
-	static void sendProblem(Context context, Problem problem) {
-		sendProblem(context, BAD_REQUEST, problem);
+	static void sendProblem(Context context, Problem problem, Runnable written) {
+		sendProblem(context, BAD_REQUEST, problem, written);
 	}
 
-	static void sendProblem(Context context, int status, Problem problem) {
-		sendJson(context, status, new InvalidRequest(problem.type().code(), problem.message(), "no"));
+	static void sendProblem(Context context, int status, Problem problem, Runnable written) {
+		sendJson(context, status, new InvalidRequest(problem.type().code(), problem.message(), "no"), written);
 	}
 
-	static void sendTickets(Context context, CallMessage.Tickets tickets) {
+	static void sendTickets(Context context, CallMessage.Tickets tickets, Runnable written) {
 		if (tickets.refusal().isPresent()) {
-			send(context, new CallOutcome.NotRun(tickets.refusal().get(), MILLIS_PER_SECOND), Optional.empty());
+			send(context, new CallOutcome.NotRun(tickets.refusal().get(), MILLIS_PER_SECOND), Optional.empty(),
+					written);
 			return;
 		}
-		sendJson(context, OK, new TicketList(tickets.tickets().stream().map(Ticket::encoded).toList()));
+		sendJson(context, OK, new TicketList(tickets.tickets().stream().map(Ticket::encoded).toList()), written);
 	}
 
-	static void sendJson(Context context, int status, Object body) {
+	static void sendJson(Context context, int status, Object body, Runnable written) {
 		try {
 			context.setResponseCode(StatusCode.valueOf(status));
 			context.setResponseType(MediaType.json);
-			context.send(MAPPER.writeValueAsBytes(body));
+			write(context, MAPPER.writeValueAsBytes(body), written);
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("response body cannot be written as JSON", ex);
 		}
 	}
 
-	private static void sendTargetResponse(Context context, CallOutcome.Answered answered) {
+	private static void sendTargetResponse(Context context, CallOutcome.Answered answered, Runnable written) {
 		context.setResponseCode(StatusCode.valueOf(answered.status()));
 		for (Header header : answered.headers()) {
 			context.setResponseHeader(header.name(), header.value());
 		}
 		context.setResponseHeader("Request-Ran", "yes");
-		context.send(answered.body());
+		write(context, answered.body(), written);
 	}
 
-	private static void sendNonTargetResponse(Context context, int status, NonTargetResponse response) {
+	/**
+	 * Writes a body as a channel, because the HTTP library reports only for a stream when
+	 * its last byte has been written, by closing it. To an input stream it would also
+	 * apply the caller's {@code Range}.
+	 */
+	private static void write(Context context, byte[] content, Runnable written) {
+		context.setResponseLength(content.length);
+		try {
+			context.send(Channels.newChannel(new ByteArrayInputStream(content) {
+				@Override
+				public void close() {
+					written.run();
+				}
+			}));
+		}
+		catch (IllegalStateException | IllegalArgumentException ex) {
+			// The connection has ended, or two responses on it begin at once.
+			context.send(content);
+			written.run();
+		}
+	}
+
+	private static void sendNonTargetResponse(Context context, int status, NonTargetResponse response,
+			Runnable written) {
 		context.setResponseHeader("Request-Ran", response.ran());
 		context.setResponseHeader("Request-Resend", response.resend() ? "yes" : "no");
-		sendJson(context, status, response);
+		sendJson(context, status, response, written);
 	}
 
 	private static void setRetryAfter(Context context, long millis) {
--- a/node/src/main/java/org/eelgrasspitch/node/OperatorHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/OperatorHttpApi.java
@@ -21,6 +21,10 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
+	/** The stop of the node does not wait for responses to operators. */
+	private static final Runnable NOT_AWAITED = () -> {
+	};
+
 	private OperatorHttpApi() {
 	}
 
@@ -37,7 +41,7 @@
 		app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		app.get("/status", (request) -> status(context, control, home, entry, request));
 		app.get("/routes", (request) -> {
-			HttpResponses.sendJson(request, OK, RouteReport.of(context.state().snapshot()));
+			HttpResponses.sendJson(request, OK, RouteReport.of(context.state().snapshot()), NOT_AWAITED);
 			return request;
 		});
 		app.get("/metrics", (request) -> {
@@ -46,12 +50,12 @@
 		});
 		app.get("/burn", (request) -> {
 			List<ObjectiveCounts> rows = context.state().snapshot().map(context.objectives()::rows).orElse(List.of());
-			HttpResponses.sendJson(request, OK, rows);
+			HttpResponses.sendJson(request, OK, rows, NOT_AWAITED);
 			return request;
 		});
 		app.post("/leave", (request) -> {
 			control.post(new FleetEvent.LeaveRequested());
-			HttpResponses.sendJson(request, ACCEPTED, new StateResponse("leaving"));
+			HttpResponses.sendJson(request, ACCEPTED, new StateResponse("leaving"), NOT_AWAITED);
 			return request;
 		});
 		return app;
@@ -62,10 +66,10 @@
 		return request.detach((detached) -> {
 			control.view().whenComplete((view, failure) -> {
 				if (failure != null) {
-					HttpResponses.sendJson(request, SERVICE_UNAVAILABLE, new StateResponse("busy"));
+					HttpResponses.sendJson(request, SERVICE_UNAVAILABLE, new StateResponse("busy"), NOT_AWAITED);
 					return;
 				}
-				HttpResponses.sendJson(request, OK, StatusReport.of(context, view, home, entry));
+				HttpResponses.sendJson(request, OK, StatusReport.of(context, view, home, entry), NOT_AWAITED);
 			});
 			return request;
 		});
--- a/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -28,6 +28,13 @@
 	/** How long the report of a death waits for other nodes. */
 	private static final int REPORT_MILLIS = 1_000;
 
+	/** Half the time to stop of a node that has nothing to wait for. */
+	private static final int MAX_IDLE_STOP_MILLIS = LONG_MILLIS / 2;
+
+	private static final int MAX_ANSWER_BYTES = 1_000_000;
+
+	private static final int SLOW_ANSWERS = 12;
+
 	/** Time in which a request reaches the node. */
 	private static final int ARRIVE_MILLIS = 300;
 
@@ -128,6 +135,37 @@
 		Assert.assertTrue(tookMillis >= MIN_STOP_MILLIS + REPORT_MILLIS, "broken off after " + tookMillis + " ms");
 	}
 
+	// The responses were handed over, more than the buffers of the system hold, but the
+	// caller takes them slowly.
+	@Test
+	public void responseIsCutOffWhileItIsWritten() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		this.node.answer = new byte[MAX_ANSWER_BYTES];
+		CompletableFuture<Long> received = this.node.slowReads(SLOW_ANSWERS, 2 * MIN_STOP_MILLIS);
+		pause(2 * MIN_STOP_MILLIS);
+		this.node.leave();
+		long bytes = received.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS);
+		Assert.assertTrue(bytes > SLOW_ANSWERS * MAX_ANSWER_BYTES, "bytes: " + bytes);
+	}
+
+	// A response that cannot be written is not awaited until the end of the time.
+	@Test
+	public void stopWaitsForCallersThatAreGone() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		this.node.targetMillis = ARRIVE_MILLIS;
+		this.node.abandonedRequest(StoppingNode.READ, ARRIVE_MILLIS / 3);
+		this.node.leave().get(MAX_IDLE_STOP_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Test
+	public void stopWaitsForResponsesWithoutABody() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		this.node.answer = new byte[0];
+		assertResponse(this.node.request("GET", StoppingNode.READ, "q1"), "200", "Request-Ran: yes");
+		assertResponse(this.node.request("GET", "/-/outcomes/none", "o1"), "400", "Content-Length");
+		this.node.leave().get(MAX_IDLE_STOP_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private CompletableFuture<String> payAtTheEnd(int attempt) throws Exception {
 		this.node = new StoppingNode(0, false);
 		CompletableFuture<String> response = this.node.request("POST", StoppingNode.FAR_PAY, "p1",
