Pull from another peer as soon as the link of a pull has closed

Cause: a pull counted as pending until its time limit of 3 s, also after its link had closed, so that the document was not pulled from another peer. A member that had the text and was waiting for the VM list served without targets meanwhile.

--- a/core/src/main/java/org/eelgrasspitch/fleet/DocumentPuller.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/DocumentPuller.java
@@ -87,7 +87,7 @@
 
 	private void expire(long now) {
 		for (PendingPull pending : List.copyOf(this.pendingPulls.values())) {
-			if (now >= pending.deadlineAt()) {
+			if (now >= pending.deadlineAt() || this.links.link(pending.link()).isEmpty()) {
 				this.pendingPulls.values().remove(pending);
 				this.links.link(pending.link()).ifPresent((link) -> link.pullEnded(false));
 			}
