--- a/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
@@ -6,8 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
