--- a/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/AsyncLogHandlerTests.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.proxy;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
