Draw no conclusion about the target from the end of the node itself

What operators saw: a node that closed with calls running logged target_down, target_died and target_crashed a millisecond after node_stopped, and suspected the requests of crashing their target. Cause: the node's own end closes its connections to the target one after the other. At the last one its attempt to connect failed, because the event loop was ending, and that counted as a crash. Change: a closing node marks nothing down and reports no crash; the calls end as broken off. Measured: endOfTheNodeIsNotTakenForACrashOfItsTarget failed before (1 request suspected) and passes now. That a peer ever got such a report is not shown.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -204,10 +204,10 @@
 	}
 
 	/**
-	 * Logs the calls that run at the target. Called when the end of this node is about to
-	 * cut them off.
+	 * Logs the calls that are cut off because this node closes its connections.
 	 */
-	void logCutCalls() {
+	void close() {
+		this.connector.close();
 		this.running.forEach((call) -> call.log().cut(now() - call.claimedAtMillis()));
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
@@ -120,7 +120,7 @@
 
 	private void finish() {
 		this.check.cancel(false);
-		this.home.logCutCalls();
+		this.home.close();
 		int requests = this.entry.activeRequests();
 		int calls = this.home.callsInProgress();
 		this.context.log()
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -50,6 +50,9 @@
 
 	private boolean down;
 
+	/** Whether this node is closing its connections. */
+	private boolean closed;
+
 	/**
 	 * Monotonic time in milliseconds at which the target was last found down; 0 if never.
 	 */
@@ -88,6 +91,13 @@
 		});
 	}
 
+	/**
+	 * Draws no more conclusions from connections that end, because this node ends them.
+	 */
+	void close() {
+		this.closed = true;
+	}
+
 	void closeIdle() {
 		this.idleConnections.closeAll();
 	}
@@ -112,6 +122,10 @@
 	 */
 	void callBroken(HomeCall call) {
 		Suspect suspect = new Suspect(call, call.fingerprint());
+		if (this.closed) {
+			this.home.callsBroken(List.of(suspect));
+			return;
+		}
 		if (this.down) {
 			this.home.targetCrashed(List.of(suspect), this.downSinceMillis);
 			return;
@@ -159,7 +173,7 @@
 	}
 
 	private void markDown() {
-		if (this.down) {
+		if (this.down || this.closed) {
 			return;
 		}
 		this.down = true;
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
@@ -93,6 +93,19 @@
 		Assert.assertFalse(next.failure().isDone(), "its slot is free again");
 	}
 
+	// Guards against a node that reports a crash because its own end closes connections.
+	@Test
+	public void endOfTheNodeIsNotTakenForACrashOfItsTarget() throws Exception {
+		submit("/running");
+		this.target.accept().getInputStream().read();
+		onLoop(() -> {
+			this.home.close();
+			return null;
+		});
+		this.group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		Assert.assertEquals(this.quarantine.suspectCount(), 0, "requests suspected of a crash");
+	}
+
 	private Submitted submit(String uri) throws Exception {
 		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
 		return onLoop(() -> new Submitted(this.home.submit(head(uri), "vm-2", new Listener(failure)), failure));
