Test a stop whose check is delayed past its end

Cause: StopSequence.advance enters ANSWERING and CLOSED in one check if the event loop was held up from before answersAtMillis() to closesAtMillis(), so NodeShutdown closes without a final response (50 ms window at 1 s to stop, 200 ms from 4 s on). Measured: fails for all seven times to stop (CLOSED where ANSWERING is expected). No code changed.

--- a/core/src/test/java/org/eelgrasspitch/mesh/StopSequenceTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/StopSequenceTests.java
@@ -124,4 +124,12 @@
 		}
 	}
 
+	// The event loop was held up past the end, so the step that answers was left out.
+	@Test(dataProvider = "stopMillis")
+	public void delayedCheckClosesWithoutAnswers(long stopMillis) {
+		StopSequence stop = new StopSequence(stopMillis, START);
+		Assert.assertEquals(stop.advance(RUNNING, stop.answersAtMillis() - 1), Stage.LEAVING);
+		Assert.assertEquals(stop.advance(RUNNING, stop.closesAtMillis() + 1), Stage.ANSWERING);
+	}
+
 }
