Test replies that a peer connection still holds at the stop

Cause: PeerListener.reply hands the reply to PeerConnection.send and HomeService ends the accepted work at once; Node.leave sees no work and closes the transport although the write buffer still holds replies. No code changed.

--- a/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.request.CallMessage;
@@ -148,6 +149,18 @@
 		Assert.assertTrue(bytes > SLOW_ANSWERS * MAX_ANSWER_BYTES, "bytes: " + bytes);
 	}
 
+	// The replies were handed to a connection whose other side reads a second later.
+	@Test
+	public void repliesToAnotherNodeAreCutOffWhileTheyAreWritten() throws Exception {
+		this.node = new StoppingNode(LONG_MILLIS, false);
+		this.node.answer = new byte[MAX_ANSWER_BYTES];
+		List<CallMessage> calls = IntStream.rangeClosed(1, SLOW_ANSWERS).mapToObj(NodeStopTests::numberedRead).toList();
+		CompletableFuture<Integer> replies = this.node.slowCalls(calls, 3 * MIN_STOP_MILLIS);
+		pause(2 * MIN_STOP_MILLIS);
+		this.node.leave();
+		Assert.assertEquals(replies.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS), Integer.valueOf(SLOW_ANSWERS));
+	}
+
 	// A response that cannot be written is not awaited until the end of the time.
 	@Test
 	public void stopWaitsForCallersThatAreGone() throws Exception {
@@ -180,6 +193,11 @@
 				Optional.of(Digest.of(id.getBytes())), List.of(), new byte[0], 1);
 	}
 
+	private static CallMessage numberedRead(int call) {
+		return new CallMessage.Request(call, "slow-" + call, new RouteKey("desk", "read"), 2 * LONG_MILLIS,
+				Optional.empty(), Optional.empty(), List.of(), new byte[0], 1);
+	}
+
 	private static CallOutcome outcome(CompletableFuture<CallMessage> reply) throws Exception {
 		CallMessage message = reply.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS);
 		return (message instanceof CallMessage.Reply got) ? got.outcome() : null;
--- a/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
+++ b/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -210,6 +212,27 @@
 		return reply;
 	}
 
+	/**
+	 * Sends calls on one peer connection, which reads nothing until a pause after the last
+	 * has ended.
+	 * @param messages the calls, sent in turn
+	 * @param pauseMillis the pause, in milliseconds
+	 * @return how many replies came before the connection ended
+	 */
+	CompletableFuture<Integer> slowCalls(List<CallMessage> messages, long pauseMillis) {
+		CompletableFuture<Integer> count = new CompletableFuture<>();
+		PeerTransport transport = this.closer.register(new PeerTransport(new Peer("vm-9", "a", this.silent, 1), 1,
+				new CountingListener(messages.size(), new AtomicInteger(), count), NO_TRAFFIC));
+		transport.dial(this.peers, null, Purpose.CALL, (connection) -> {
+			for (CallMessage message : messages) {
+				connection.send(new Frame.Call(message));
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PRODUCE_MILLIS));
+			}
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMillis));
+		}, () -> count.complete(-1));
+		return count;
+	}
+
 	/**
 	 * Returns a ticket of a node that is silent.
 	 * @return the ticket in encoded form
@@ -382,4 +405,31 @@
 
 	}
 
+	private record CountingListener(int expected, AtomicInteger received,
+			CompletableFuture<Integer> count) implements ConnectionListener {
+
+		@Override
+		public void opened(PeerConnection connection) {
+			// The requests are sent by the dialling side.
+		}
+
+		@Override
+		public void received(PeerConnection connection, Frame frame) {
+			if (this.received.incrementAndGet() == this.expected) {
+				this.count.complete(this.expected);
+			}
+		}
+
+		@Override
+		public void closed(PeerConnection connection) {
+			this.count.complete(this.received.get());
+		}
+
+		@Override
+		public void malformed(String remote, Problem problem) {
+			this.count.completeExceptionally(new IllegalStateException(problem.message()));
+		}
+
+	}
+
 }
