Test a call that waits for a connection when the last answers go out

Cause: HomeService.connected does not ask whether the home is closing, so a call whose connection to the target opens after refuseUnstarted is sent to the target shortly before the node closes, and its entry node is told nothing. No code changed.

--- a/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
@@ -106,6 +106,20 @@
 		Assert.assertEquals(this.quarantine.suspectCount(), 0, "requests suspected of a crash");
 	}
 
+	// The target began it when the home had said its last answers.
+	@Test
+	public void callThatWaitsForAConnectionStartsAfterTheLastAnswers() throws Exception {
+		Submitted connecting = onLoop(() -> {
+			CompletableFuture<CallFailure> failure = new CompletableFuture<>();
+			CallHandle handle = this.home.submit(head("/pay"), "vm-2", new Listener(failure));
+			this.home.refuseUnstarted();
+			return new Submitted(handle, failure);
+		});
+		CallFailure failure = connecting.failure().get(2, TimeUnit.SECONDS);
+		Assert.assertEquals(failure.reason(), FailureReason.LEAVING);
+		Assert.assertFalse(failure.mayHaveRun());
+	}
+
 	private Submitted submit(String uri) throws Exception {
 		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
 		return onLoop(() -> new Submitted(this.home.submit(head(uri), "vm-2", new Listener(failure)), failure));
