Test how a link ends at a planned stop

Cause: (1) Link.shutDownOutput writes an empty buffer through the LengthFieldPrepender, so the peer gets a frame of length 0, which it cannot decode. (2) A call that arrives after the home has ended its output is refused into a closed stream, so its entry node sees only the end of the link and takes an idempotent call for one that may have run. Measured: an empty frame is received; no failure is received for a call that is sent 2.7 s after the stop of an idle node. No code changed.

--- a/proxy/src/test/java/org/eelgrasspitch/proxy/CongestedLinkTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/CongestedLinkTests.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +46,9 @@
 
 	private static final int BODY_BYTES = 50_000;
 
+	/** An idle node has ended its links by then, and still waits for the other sides. */
+	private static final long CROSSING_MILLIS = 2_700;
+
 	/** More bytes than the system buffers for a connection. */
 	private static final int CALLS = 400;
 
@@ -98,6 +102,56 @@
 		}
 	}
 
+	// The entry node took such a call for one that may have run.
+	@Test
+	public void callThatCrossesTheEndOfTheLinkIsNotRefused() throws Exception {
+		try (Socket link = new Socket(this.linkAddress.getAddress(), this.linkAddress.getPort())) {
+			DataOutputStream output = new DataOutputStream(link.getOutputStream());
+			write(output, LinkMessage.hello(new LinkHello("vm-2", "a", "127.0.0.2:1", 7).setCapacity(100)));
+			Thread.ofVirtual().start(() -> keepAlive(output));
+			Thread.ofVirtual().start(this.home::leave);
+			sleep(CROSSING_MILLIS);
+			write(output, LinkMessage.call(call(1)));
+			DataInputStream input = new DataInputStream(link.getInputStream());
+			Assert.assertTrue(hasFailure(input), "the link ended without a refusal");
+		}
+	}
+
+	// The other side took it for a fault of the link.
+	@Test
+	public void lastFrameOfTheLinkIsEmpty() throws Exception {
+		try (Socket link = new Socket(this.linkAddress.getAddress(), this.linkAddress.getPort())) {
+			DataOutputStream output = new DataOutputStream(link.getOutputStream());
+			write(output, LinkMessage.hello(new LinkHello("vm-2", "a", "127.0.0.2:1", 7).setCapacity(100)));
+			Thread.ofVirtual().start(() -> keepAlive(output));
+			Thread.ofVirtual().start(this.home::leave);
+			DataInputStream input = new DataInputStream(link.getInputStream());
+			Assert.assertFalse(readFrames(input).stream().anyMatch((frame) -> frame.length == 0), "empty frame");
+		}
+	}
+
+	private static boolean hasFailure(DataInputStream input) throws Exception {
+		for (byte[] frame : readFrames(input)) {
+			if (frame.length > 0 && LinkFrames.decode(frame).isSetFailure()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static List<byte[]> readFrames(DataInputStream input) {
+		List<byte[]> frames = new ArrayList<>();
+		try {
+			while (true) {
+				frames.add(input.readNBytes(input.readInt()));
+			}
+		}
+		catch (IOException ex) {
+			// The link has ended.
+			return frames;
+		}
+	}
+
 	private void awaitAnswersOfTarget() {
 		while (this.answered.get() < CALLS) {
 			sleep(READ_INTERVAL_MILLIS);
