--- a/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
+++ b/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
@@ -213,8 +213,8 @@
 	}
 
 	/**
-	 * Sends calls on one peer connection, which reads nothing until a pause after the last
-	 * has ended.
+	 * Sends calls on one peer connection, which reads nothing until a pause after the
+	 * last has ended.
 	 * @param messages the calls, sent in turn
 	 * @param pauseMillis the pause, in milliseconds
 	 * @return how many replies came before the connection ended
