Enter one stage of a stop at a time

What callers saw: nothing yet; found in review. An event loop that was held up past the end of the stop closed the node without the last answers. Cause: one call could lead from accepting to closed, so the stage in between was left out.

--- a/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
@@ -76,8 +76,8 @@
 	/** Time since which nothing is accepted and there is no work; 0 while there is. */
 	private long quietSinceMillis;
 
-	/** Time at which the node began to end its connections; 0 before. */
-	private long closingSinceMillis;
+	/** Time at which the current stage began; 0 in the first one. */
+	private long stageSinceMillis;
 
 	/**
 	 * Begins the stop.
@@ -90,36 +90,43 @@
 	}
 
 	/**
-	 * Enters the next stages as far as time and work permit.
+	 * Enters the next stage if time and work permit. Each call enters one stage at most,
+	 * so that none is left out when a call comes late.
 	 * @param work what the node has accepted and not finished
 	 * @param now current monotonic time in milliseconds
 	 * @return the current stage
 	 */
 	public Stage advance(Work work, long now) {
-		if (this.stage == Stage.LEAVING && now - this.startedAtMillis >= callerDrainMillis() && work.isNone()) {
-			this.stage = Stage.REFUSING;
-		}
-		if ((this.stage == Stage.LEAVING || this.stage == Stage.REFUSING) && now >= answersAtMillis()) {
-			this.stage = Stage.ANSWERING;
-		}
-		if (this.stage != Stage.CLOSING && this.stage != Stage.CLOSED && isQuiet(work, now)) {
-			this.stage = Stage.CLOSING;
-			this.closingSinceMillis = now;
-			return this.stage;
-		}
-		if (isClosed(work, now) || now >= closesAtMillis()) {
-			this.stage = Stage.CLOSED;
+		Stage next = next(work, now);
+		if (next != this.stage) {
+			this.quietSinceMillis = (next == Stage.REFUSING) ? now : 0;
+			this.stageSinceMillis = now;
 		}
+		this.stage = next;
 		return this.stage;
 	}
 
+	private Stage next(Work work, long now) {
+		return switch (this.stage) {
+			case LEAVING -> {
+				boolean idle = now - this.startedAtMillis >= callerDrainMillis() && work.isNone();
+				yield (now >= answersAtMillis()) ? Stage.ANSWERING : idle ? Stage.REFUSING : Stage.LEAVING;
+			}
+			case REFUSING ->
+				(now >= answersAtMillis()) ? Stage.ANSWERING : isQuiet(work, now) ? Stage.CLOSING : Stage.REFUSING;
+			case ANSWERING ->
+				(now >= closesAtMillis()) ? Stage.CLOSED : isQuiet(work, now) ? Stage.CLOSING : Stage.ANSWERING;
+			case CLOSING -> isClosed(work, now) ? Stage.CLOSED : Stage.CLOSING;
+			case CLOSED -> Stage.CLOSED;
+		};
+	}
+
 	private boolean isClosed(Work work, long now) {
-		return this.stage == Stage.CLOSING
-				&& (work.isDelivered() || now - this.closingSinceMillis >= MAX_CLOSING_MILLIS);
+		return work.isDelivered() || now - this.stageSinceMillis >= MAX_CLOSING_MILLIS || now >= closesAtMillis();
 	}
 
 	private boolean isQuiet(Work work, long now) {
-		if (this.stage == Stage.LEAVING || !work.isNone()) {
+		if (!work.isNone()) {
 			this.quietSinceMillis = 0;
 			return false;
 		}
