Go on with a stop after a step that fails, and log it

Cause: an exception in one step silently ended the schedule of all others, the last answers among them. Found in review; no exception that occurs by itself is known.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -144,6 +144,9 @@
 	/** The entry node cancelled a call. */
 	CALL_CANCELLED,
 
+	/** A step of the planned stop threw an exception; the stop goes on. */
+	STOP_STEP_FAILED,
+
 	/** The end of this node cut off a call that ran at the target. */
 	CALL_CUT;
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/NodeShutdown.java
@@ -7,6 +7,7 @@
 import org.eelgrasspitch.mesh.StopSequence;
 import org.eelgrasspitch.mesh.StopSequence.Stage;
 import org.eelgrasspitch.mesh.StopSequence.Work;
+import org.eelgrasspitch.misc.EnumNames;
 
 /**
  * Carries out the planned stop of a node as {@link StopSequence} decides. It runs on the
@@ -84,10 +85,10 @@
 		Stage former = this.stage;
 		this.stage = this.stop.advance(work(), now);
 		if (!this.stop.acceptsCalls(now)) {
-			this.home.leave();
+			attempt(this.home::leave);
 		}
 		if (now - this.startedAtMillis >= this.stop.callerDrainMillis()) {
-			this.server.closeIdle();
+			attempt(this.server::closeIdle);
 		}
 		if (this.stage == former) {
 			return;
@@ -96,8 +97,14 @@
 			case LEAVING, REFUSING -> {
 				// Both roles ask the sequence, or were told above, what they accept.
 			}
-			case ANSWERING -> answer();
-			case CLOSING -> endConnections();
+			case ANSWERING -> {
+				attempt(this.home::refuseUnstarted);
+				attempt(this.server::answerBeforeClose);
+			}
+			case CLOSING -> {
+				attempt(this.server::stopAccepting);
+				attempt(this.links::endConnections);
+			}
 			case CLOSED -> finish();
 		}
 	}
@@ -108,19 +115,23 @@
 				this.server.waitingBytes() + this.links.waitingBytes(), ended);
 	}
 
-	private void answer() {
-		this.home.refuseUnstarted();
-		this.server.answerBeforeClose();
-	}
-
-	private void endConnections() {
-		this.server.stopAccepting();
-		this.links.endConnections();
+	/**
+	 * Takes a step. One that fails is logged and does not keep the node from the others.
+	 */
+	private void attempt(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			this.context.log()
+				.logNodeEvent(LogEvent.STOP_STEP_FAILED, "stage", EnumNames.lowerCase(this.stage), "cause",
+						String.valueOf(ex));
+		}
 	}
 
 	private void finish() {
 		this.check.cancel(false);
-		this.home.close();
+		attempt(this.home::close);
 		int requests = this.entry.activeRequests();
 		int calls = this.home.callsInProgress();
 		this.context.log()
