Start no call at the target after the last answers

Cause: a call that waited for its connection to the target was sent when the connection opened, also when its home had begun to close. Measured: HomeServiceTests.callThatWaitsForAConnectionStartsAfterTheLastAnswers failed before (no refusal within 2 s) and passes now.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -387,9 +387,6 @@
 		}
 	}
 
-	/**
-	 * Tells peers that the target has gone down or up.
-	 */
 	void stateChanged() {
 		this.stateListener.run();
 	}
@@ -481,9 +478,10 @@
 	}
 
 	private void connected(HomeCall call, TargetConnection connection) {
-		if (connection == null) {
+		if (connection == null || this.closing) {
 			if (!call.isEnded()) {
-				refuse(call, FailureReason.TARGET_DOWN, UNAVAILABLE_RETRY_AFTER_MILLIS);
+				FailureReason reason = this.closing ? FailureReason.LEAVING : FailureReason.TARGET_DOWN;
+				refuse(call, reason, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			}
 			removeRunning(call);
 			return;
