End a link without an empty frame

Cause: the empty write that waits for all messages went through the handler that adds lengths, so the peer got a frame of length 0 and closed the link as faulty. Found in review.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -309,7 +309,10 @@
 	 */
 	void shutDownOutput() {
 		this.closeReason = "this node is about to close";
-		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+		// Written below the handler that would make it a frame.
+		this.channel.pipeline()
+			.firstContext()
+			.writeAndFlush(Unpooled.EMPTY_BUFFER)
 			.addListener((future) -> ((DuplexChannel) this.channel).shutdownOutput());
 	}
 
