Count replies between nodes as accepted work until they are written

What callers saw: answers that waited in the write buffer of a connection between nodes ended with the node that stopped. Cause: a request counted as ended when its reply was handed to the connection.

--- a/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
+++ b/node/src/main/java/org/eelgrasspitch/node/PeerListener.java
@@ -116,8 +116,12 @@
 		}
 	}
 
-	private static void reply(PeerConnection connection, CallMessage message) {
-		connection.send(new Frame.Call(message));
+	/**
+	 * Sends a reply, which is accepted work until it has been written.
+	 */
+	private void reply(PeerConnection connection, CallMessage message) {
+		AcceptedWork.Item item = this.context.work().begin();
+		connection.send(new Frame.Call(message), item::end);
 	}
 
 	/**
--- a/wire/src/main/java/org/eelgrasspitch/wire/PeerConnection.java
+++ b/wire/src/main/java/org/eelgrasspitch/wire/PeerConnection.java
@@ -81,9 +81,19 @@
 	 * @param frame the frame
 	 */
 	public void send(Frame frame) {
+		send(frame, () -> {
+		});
+	}
+
+	/**
+	 * Sends a frame as {@link #send(Frame)} does.
+	 * @param frame the frame
+	 * @param written run once the frame has been written to the connection, or cannot be
+	 */
+	public void send(Frame frame, Runnable written) {
 		byte[] content = this.codec.encode(frame);
 		this.trafficListener.sent(this.purpose, content.length);
-		this.channel.writeAndFlush(Unpooled.wrappedBuffer(content));
+		this.channel.writeAndFlush(Unpooled.wrappedBuffer(content)).addListener((future) -> written.run());
 		if (!this.channel.isWritable()) {
 			this.channel.close();
 		}
