Make no further attempt once the last answers are due

Cause: a home that refused its queue made the entry node of the same VM send the requests elsewhere, only to cancel them in the same step. An idempotent request that had only waited there is refused now. The set of ended links is copied before it is iterated. Found in review by reading; no test of its own. Measured: the tests of proxy pass.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -334,7 +334,8 @@
 	 */
 	boolean tryAcquireRetry(Admission admission, Attempts attempts, CallFailure failure, int reachedTargetCount) {
 		MeshRoute route = admission.route();
-		if (failure.mayHaveRun() && !route.idempotent()) {
+		boolean tooLate = isStopping() && this.context.now() >= this.stop.answersAtMillis();
+		if (tooLate || (failure.mayHaveRun() && !route.idempotent())) {
 			return false;
 		}
 		if (!failure.reachedTarget()) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -228,7 +228,7 @@
 	void endConnections() {
 		this.ending = true;
 		this.endedLinks.addAll(this.allLinks);
-		this.endedLinks.forEach(Link::shutDownOutput);
+		List.copyOf(this.endedLinks).forEach(Link::shutDownOutput);
 	}
 
 	/**
