--- a/proxy/src/test/java/org/eelgrasspitch/proxy/CongestedLinkTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/CongestedLinkTests.java
@@ -75,7 +75,7 @@
 				freeAddress(), (InetSocketAddress) this.target.getLocalSocketAddress(), freeAddress(), 0, STOP_MILLIS,
 				0.2, 10, 10_000, ProxySettings.DEFAULT_DRAIN_MILLIS, ProxySettings.DEFAULT_SETTLE_MILLIS, LogDetail.OFF,
 				1);
-		this.home = ProxyNode.start(settings, NAMES, new NoDocuments(), (loop) -> new NoSource());
+		this.home = ProxyNode.start(settings, NAMES, new NoDocuments(), (loop) -> new IdleSource());
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -287,31 +287,6 @@
 
 	}
 
-	/** A source that never answers. */
-	private static final class NoSource implements Source {
-
-		@Override
-		public void start(SourceListener listener) {
-			// It reports nothing.
-		}
-
-		@Override
-		public void refresh() {
-			// It reports nothing.
-		}
-
-		@Override
-		public void pause() {
-			// It reports nothing.
-		}
-
-		@Override
-		public void resume(long revision) {
-			// It reports nothing.
-		}
-
-	}
-
 	/** A decoder that is given no document. */
 	private static final class NoDocuments implements DocumentDecoder {
 
--- /dev/null
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/IdleSource.java
@@ -0,0 +1,28 @@
+package org.eelgrasspitch.proxy;
+
+/**
+ * A source that reads nothing and reports nothing.
+ */
+final class IdleSource implements Source {
+
+	@Override
+	public void start(SourceListener listener) {
+		// The test calls the listener, if any document is to be read.
+	}
+
+	@Override
+	public void refresh() {
+		// There is nothing to read.
+	}
+
+	@Override
+	public void pause() {
+		// It never reads.
+	}
+
+	@Override
+	public void resume(long revision) {
+		// It never reads.
+	}
+
+}
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
@@ -123,30 +123,6 @@
 		}
 	}
 
-	private static final class IdleSource implements Source {
-
-		@Override
-		public void start(SourceListener listener) {
-			// The test calls the listener.
-		}
-
-		@Override
-		public void refresh() {
-			// There is nothing to read.
-		}
-
-		@Override
-		public void pause() {
-			// It never reads.
-		}
-
-		@Override
-		public void resume(long revision) {
-			// It never reads.
-		}
-
-	}
-
 	private final class VersionDecoder implements DocumentDecoder {
 
 		@Override
