--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/World.java
@@ -46,8 +46,12 @@
 
 	private static final int LAST_OCTET = 200;
 
-	/** Second number of the next scenario's addresses; each scenario uses its own. */
-	private static int nextOctet = FIRST_OCTET;
+	/**
+	 * Second number of the next scenario's addresses; each scenario uses its own. Two
+	 * runs on one machine begin at different numbers.
+	 */
+	private static int nextOctet = FIRST_OCTET
+			+ 2 * (int) (ProcessHandle.current().pid() % ((LAST_OCTET - FIRST_OCTET) / 2));
 
 	private final Closer closer = new Closer();
 
