--- a/core/src/main/java/org/eelgrasspitch/fleet/DocumentPuller.java
+++ b/core/src/main/java/org/eelgrasspitch/fleet/DocumentPuller.java
@@ -85,6 +85,9 @@
 		return pullIfBehind(textBlocked, now);
 	}
 
+	/**
+	 * Ends the pulls that have timed out or whose link has closed.
+	 */
 	private void expire(long now) {
 		for (PendingPull pending : List.copyOf(this.pendingPulls.values())) {
 			if (now >= pending.deadlineAt() || this.links.link(pending.link()).isEmpty()) {
--- a/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
@@ -37,8 +37,10 @@
 	/** Maximum time for which requests of callers are accepted, in milliseconds. */
 	private static final long MAX_REQUEST_ACCEPT_MILLIS = 2_800;
 
+	/** Maximum share of the time to stop within which callers move to other nodes. */
 	private static final double CALLER_DRAIN_SHARE = 0.4;
 
+	/** Maximum share of the time to stop in which requests are accepted. */
 	private static final double REQUEST_ACCEPT_SHARE = 0.5;
 
 	/**
@@ -54,8 +56,10 @@
 	/** Maximum time before the kill at which the node closes. */
 	private static final long MAX_CLOSE_RESERVE_MILLIS = 400;
 
+	/** Maximum share of the time to stop that is left when final responses are sent. */
 	private static final double ANSWER_RESERVE_SHARE = 0.15;
 
+	/** Maximum share of the time to stop that is left when the node closes. */
 	private static final double CLOSE_RESERVE_SHARE = 0.1;
 
 	/**
@@ -166,7 +170,7 @@
 	 * everything earlier.
 	 * @return the time in milliseconds
 	 */
-	public long callAcceptMillis() {
+	private long callAcceptMillis() {
 		return (long) (CALL_ACCEPT_SHARE * this.stopMillis);
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -80,10 +80,8 @@
 
 	private boolean outputShut;
 
-	/**
-	 * Whether an exception ends the connection that is none of the connection itself.
-	 */
-	private boolean exceptional;
+	/** Whether this node ends the connection because of an exception of its own. */
+	private boolean endedByException;
 
 	/** Exchange whose response was last found not to be written; null if none. */
 	private Exchange unwritten;
@@ -158,7 +156,7 @@
 	 * @return the reason as logged; empty if the caller ended it
 	 */
 	private Optional<String> ownEndReason() {
-		if (this.exceptional) {
+		if (this.endedByException) {
 			return Optional.of("exception");
 		}
 		return this.channel.eventLoop().isShuttingDown() ? Optional.of("node_closed") : Optional.empty();
@@ -177,7 +175,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.exceptional = !(cause instanceof IOException);
+		this.endedByException = !(cause instanceof IOException);
 		this.entry.context()
 			.log()
 			.logNodeEvent(LogEvent.CALLER_CONNECTION_FAILED, "caller",
