--- a/review/2/EarlyAnswerReset.java
+++ b/review/2/EarlyAnswerReset.java
@@ -98,7 +98,7 @@
 		return wrong.get() == 0;
 	}
 
-	private static boolean answerEarly(AppServer server, AppServer.Request request, Socket socket, InputStream in,
+	private static AppServer.Left answerEarly(AppServer server, AppServer.Request request, Socket socket, InputStream in,
 			OutputStream out, Recorder recorder, boolean breaksOff) throws IOException, InterruptedException {
 		recorder.line("server %s runs %s %s %s", server.id, request.id(), request.method(), request.path());
 		byte[] body = AppServer.answerBody(request.id(), ANSWER_BYTES);
@@ -112,14 +112,14 @@
 			recorder.line("server %s resets the connection of %s after %d of %d bytes of its answer", server.id,
 					request.id(), body.length / 2, body.length);
 			Store.reset(socket);
-			return true;
+			return AppServer.Left.CLOSE;
 		}
 		// The rest of the answer, then the rest of the upload, then the end of the answer.
 		out.write(body, body.length / 2, body.length - body.length / 2);
 		out.flush();
 		Http.readBody(in, request.headers());
 		socket.shutdownOutput();
-		return true;
+		return AppServer.Left.CLOSE;
 	}
 
 }
--- a/review/standins/AppServer.java
+++ b/review/standins/AppServer.java
@@ -13,11 +13,24 @@
 /** A back end: echoes the request's id, signs its answers and serves one request at a time on a connection. */
 final class AppServer implements AutoCloseable {
 
-	/** Decides what becomes of a request whose head was read; null for an ordinary answer. */
+	/** What is left to do for a request after {@link Behaviour}. */
+	enum Left {
+
+		/** The whole answer. */
+		ANSWER,
+
+		/** Nothing; the connection is kept. */
+		NOTHING,
+
+		/** The end of the connection. */
+		CLOSE
+
+	}
+
+	/** Decides what becomes of a request whose head was read. */
 	interface Behaviour {
 
-		/** Returns true if it has dealt with the request and its connection. */
-		boolean handle(Request request, Socket socket, InputStream in, OutputStream out)
+		Left handle(Request request, Socket socket, InputStream in, OutputStream out)
 				throws IOException, InterruptedException;
 
 	}
@@ -143,9 +156,13 @@
 					continue;
 				}
 				Behaviour current = this.behaviour;
-				if (current != null && current.handle(request, socket, in, out)) {
+				Left left = (current != null) ? current.handle(request, socket, in, out) : Left.ANSWER;
+				if (left == Left.CLOSE) {
 					return;
 				}
+				if (left == Left.NOTHING) {
+					continue;
+				}
 				Http.readBody(in, request.headers());
 				this.recorder.line("server %s (%s) runs %s %s %s from caller service %s", this.id, this.service,
 						request.id(), request.method(), request.path(), request.headers().get("x-caller-service"));
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -25,10 +25,13 @@
 
 	private static final int PAGE_ITEMS = 50;
 
+	/** history_s of the site files. */
+	private static final long HISTORY_NANOS = 20_000_000_000L;
+
 	private record Item(byte[] value, long rev, long createRev) {
 	}
 
-	private record Event(String key, Item item, long rev) {
+	private record Event(String key, Item item, long rev, long atNanos) {
 	}
 
 	/** A copy of the store's content. */
@@ -48,9 +51,14 @@
 	/** Whether calls get no answer: new connections and waiting watches are reset. */
 	private boolean away;
 
+	/** Addresses at which calls get a reset, while the others and the operator are served. */
+	private final Set<InetSocketAddress> rejecting = ConcurrentHashMap.newKeySet();
+
+	private final Map<InetSocketAddress, Integer> calls = new ConcurrentHashMap<>();
+
 	private final List<ServerSocket> listeners = new ArrayList<>();
 
-	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+	private final Map<Socket, InetSocketAddress> connections = new ConcurrentHashMap<>();
 
 	Store(InetSocketAddress... addresses) throws IOException {
 		for (InetSocketAddress address : addresses) {
@@ -58,7 +66,7 @@
 			listener.setReuseAddress(true);
 			listener.bind(address, 256);
 			this.listeners.add(listener);
-			Thread.ofVirtual().start(() -> accept(listener));
+			Thread.ofVirtual().start(() -> accept(listener, address));
 		}
 	}
 
@@ -69,7 +77,7 @@
 		Item item = new Item(value.getBytes(StandardCharsets.UTF_8), this.revision,
 				(former != null) ? former.createRev() : this.revision);
 		this.items.put(key, item);
-		this.events.add(new Event(key, item, this.revision));
+		this.events.add(new Event(key, item, this.revision, System.nanoTime()));
 		notifyAll();
 		return this.revision;
 	}
@@ -77,7 +85,7 @@
 	synchronized long remove(String key) {
 		this.revision++;
 		this.items.remove(key);
-		this.events.add(new Event(key, null, this.revision));
+		this.events.add(new Event(key, null, this.revision, System.nanoTime()));
 		notifyAll();
 		return this.revision;
 	}
@@ -93,10 +101,29 @@
 	/** Goes away: open connections are reset and new ones get a reset, too. */
 	synchronized void goAway() {
 		this.away = true;
-		this.connections.forEach(Store::reset);
+		this.connections.keySet().forEach(Store::reset);
 		notifyAll();
 	}
 
+	/** Turns one machine away: its connections are reset, open ones too. */
+	synchronized void reject(InetSocketAddress address) {
+		this.rejecting.add(address);
+		this.connections.forEach((socket, of) -> {
+			if (of.equals(address)) {
+				reset(socket);
+			}
+		});
+	}
+
+	void serveAgain(InetSocketAddress address) {
+		this.rejecting.remove(address);
+	}
+
+	/** Returns how many calls of a machine were taken. */
+	int calls(InetSocketAddress address) {
+		return this.calls.getOrDefault(address, 0);
+	}
+
 	/** Returns with its content as it was. */
 	synchronized void comeBack() {
 		this.away = false;
@@ -107,11 +134,12 @@
 		this.items = new TreeMap<>(copy.items());
 		this.events = new ArrayList<>(copy.events());
 		this.revision = copy.revision();
+		this.oldestWatchable = Math.min(this.oldestWatchable, this.revision);
 		this.era++;
 		this.away = false;
 	}
 
-	private void accept(ServerSocket listener) {
+	private void accept(ServerSocket listener, InetSocketAddress address) {
 		while (true) {
 			Socket socket;
 			try {
@@ -120,12 +148,12 @@
 			catch (IOException ex) {
 				return;
 			}
-			Thread.ofVirtual().start(() -> serve(socket));
+			Thread.ofVirtual().start(() -> serve(socket, address));
 		}
 	}
 
-	private void serve(Socket socket) {
-		this.connections.add(socket);
+	private void serve(Socket socket, InetSocketAddress address) {
+		this.connections.put(socket, address);
 		try (socket) {
 			socket.setTcpNoDelay(true);
 			InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -140,11 +168,12 @@
 					// Only reads without a body are made.
 				}
 				synchronized (this) {
-					if (this.away) {
+					if (this.away || this.rejecting.contains(address)) {
 						reset(socket);
 						return;
 					}
 				}
+				this.calls.merge(address, 1, Integer::sum);
 				answer(requestLine.split(" ")[1], out);
 			}
 		}
@@ -216,6 +245,7 @@
 			if (this.away || this.era != asked) {
 				throw new IOException("the store is away");
 			}
+			discardOldHistory();
 			if (after > this.revision || after < this.oldestWatchable) {
 				return null;
 			}
@@ -237,6 +267,12 @@
 		}
 	}
 
+	private void discardOldHistory() {
+		while (!this.events.isEmpty() && System.nanoTime() - this.events.getFirst().atNanos() > HISTORY_NANOS) {
+			this.oldestWatchable = this.events.removeFirst().rev();
+		}
+	}
+
 	private static String fields(String key, Item item) {
 		return "\"key\":" + Json.quote(key) + ",\"value\":\"" + Base64.getEncoder().encodeToString(item.value())
 				+ "\",\"rev\":" + item.rev() + ",\"create_rev\":" + item.createRev() + ",\"lease\":0";
@@ -271,7 +307,7 @@
 		for (ServerSocket listener : this.listeners) {
 			listener.close();
 		}
-		this.connections.forEach(Store::reset);
+		this.connections.keySet().forEach(Store::reset);
 	}
 
 	static InetAddress ip(String text) {
