--- a/review/standins/AppServer.java
+++ b/review/standins/AppServer.java
@@ -70,7 +70,11 @@
 
 	private int sequence;
 
-	AppServer(String id, String service, String zone, InetSocketAddress address, Recorder recorder) throws IOException {
+	private final int slots;
+
+	AppServer(String id, String service, String zone, InetSocketAddress address, int slots, Recorder recorder)
+			throws IOException {
+		this.slots = slots;
 		this.id = id;
 		this.service = service;
 		this.zone = zone;
@@ -105,7 +109,7 @@
 		this.sequence++;
 		return "{\"service\":" + Json.quote(this.service) + ",\"address\":"
 				+ Json.quote(this.address.getAddress().getHostAddress() + ":" + this.address.getPort()) + ",\"zone\":"
-				+ Json.quote(this.zone) + ",\"version\":\"v1\",\"slots\":9,\"state\":" + Json.quote(state)
+				+ Json.quote(this.zone) + ",\"version\":\"v1\",\"slots\":" + this.slots + ",\"state\":" + Json.quote(state)
 				+ ",\"cold_remaining_s\":0,\"sequence\":" + this.sequence + ",\"born\":" + this.born + "}";
 	}
 
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -189,7 +189,11 @@
 
 	/** Starts a back end on a machine and publishes it. */
 	AppServer startServer(Machine machine, String id) throws IOException {
-		AppServer server = new AppServer(id, machine.service, machine.zone, machine.app, this.recorder);
+		return startServer(machine, id, 9);
+	}
+
+	AppServer startServer(Machine machine, String id, int slots) throws IOException {
+		AppServer server = new AppServer(id, machine.service, machine.zone, machine.app, slots, this.recorder);
 		this.closers.add(server);
 		this.store.put(server.key(), server.entry("ready"));
 		return server;
