Order documents by the era of the store before its revision

Callers saw: after the store had come back from a copy some seconds old, no node applied a version that was published in revisions of the former era.

Cause: SourceDocument dropped every delta that did not lead beyond the highest revision seen, the complete listing after status 410 included, and peers compared revisions alone. A restored store gives revisions out again. Nothing read the header Store-Era. Ruled out: the watch itself; it gets status 410 and lists again, and the listing was dropped.

Change: SourcePosition (era, revision) in documents, heartbeats, pulls and pushes. A later era is entered with the complete document only; a response of another era restarts the listing. The fields for the era are optional, so a peer without them works as before. After a restoration, missing entries of targets are kept for the time to be published again, and an entry that was removed in an earlier era is held back until it would have expired.

"A change applies after the store was restored from an older copy" failed before (no status 200 within 2 s) and passes.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
@@ -10,9 +10,14 @@
 /**
  * Maintains the directory of targets from the entries that are published and removed.
  * <p>
- * Entries of a target are ordered by its start time and its sequence number, not by their
+ * Entries of one start of a target are ordered by their sequence number, not by their
  * arrival. An entry older than one already seen is ignored, so a late entry cannot mark a
- * draining target as ready again.
+ * draining target as ready again. The start with the later start time is the newer one.
+ * <p>
+ * A source that is restored from an older copy has the entries of that time again. Those
+ * of targets that have left since are held back until they would have expired
+ * ({@link #RESTORED_ENTRY_MILLIS}); entries written since the copy are missing and kept
+ * for the time in which their targets publish them again.
  * <p>
  * A target is dropped at once when its entry is removed, with two exceptions, which do
  * not apply to draining targets. While the source is unavailable, a target that peers
@@ -42,6 +47,13 @@
 	 */
 	public static final long OUTAGE_GRACE_MILLIS = 1_500;
 
+	/**
+	 * Time for which the last entry of a dropped target is held back when a restored
+	 * source has it again, in milliseconds. Longer than the source keeps the entry of a
+	 * target that does not renew it.
+	 */
+	public static final long RESTORED_ENTRY_MILLIS = 6_000;
+
 	/** Maximum number of dropped targets whose last entry is remembered. */
 	private static final int MAX_REMEMBERED_TARGETS = 4_096;
 
@@ -53,13 +65,22 @@
 	 * first, to detect older entries. Of dropped targets only the most recent are
 	 * remembered.
 	 */
-	private final Map<String, TargetEntry> lastSeenEntries = new LinkedHashMap<>();
+	private final Map<String, SeenEntry> lastSeenEntries = new LinkedHashMap<>();
 
 	/**
 	 * Monotonic time in milliseconds at which each target in its grace period is dropped.
 	 */
 	private final Map<String, Long> dropTimes = new HashMap<>();
 
+	/**
+	 * Monotonic time in milliseconds at which each entry that is held back is added,
+	 * unless it is removed before.
+	 */
+	private final Map<String, Long> addTimes = new HashMap<>();
+
+	/** Monotonic time in milliseconds of the last restoration; meaningless before. */
+	private long restoredAtMillis;
+
 	/**
 	 * Monotonic time in milliseconds until which removals are delayed after the last
 	 * outage of the source.
@@ -98,20 +119,37 @@
 		this.graceEndMillis = now + REPUBLISH_GRACE_MILLIS;
 	}
 
+	/**
+	 * Records that the source was restored from an older copy. Must be called before the
+	 * entries of the new era are.
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void sourceRestored(long now) {
+		this.restoredAtMillis = now;
+		this.graceEndMillis = Math.max(this.graceEndMillis, now + REPUBLISH_GRACE_MILLIS);
+	}
+
 	/**
 	 * Adds or replaces an entry.
 	 * @param entry the published entry
+	 * @param writtenAt position at which it was written
 	 * @return true if the directory changed; false if the entry is older than one already
-	 * seen or equal to the current one
+	 * seen, held back or equal to the current one
 	 */
-	public boolean put(TargetEntry entry) {
-		TargetEntry lastSeen = this.lastSeenEntries.get(entry.id());
-		if (lastSeen != null && entry.isOlderThan(lastSeen)) {
+	public boolean put(TargetEntry entry, SourcePosition writtenAt) {
+		SeenEntry lastSeen = this.lastSeenEntries.remove(entry.id());
+		if (lastSeen != null && lastSeen.supersedes(entry)) {
+			this.lastSeenEntries.put(entry.id(), lastSeen);
+			return false;
+		}
+		if (lastSeen != null && lastSeen.leftBefore(entry, writtenAt)) {
+			this.lastSeenEntries.put(entry.id(), lastSeen);
+			this.addTimes.putIfAbsent(entry.id(), this.restoredAtMillis + RESTORED_ENTRY_MILLIS);
 			return false;
 		}
-		this.lastSeenEntries.remove(entry.id());
-		this.lastSeenEntries.put(entry.id(), entry);
+		this.lastSeenEntries.put(entry.id(), new SeenEntry(entry, writtenAt, SourcePosition.NONE));
 		evictOldest();
+		this.addTimes.remove(entry.id());
 		this.dropTimes.remove(entry.id());
 		this.directory = null;
 		return !entry.equals(this.currentEntries.put(entry.id(), entry));
@@ -128,7 +166,8 @@
 	private void evictOldest() {
 		Iterator<String> oldest = this.lastSeenEntries.keySet().iterator();
 		while (this.lastSeenEntries.size() > this.currentEntries.size() + MAX_REMEMBERED_TARGETS && oldest.hasNext()) {
-			if (!this.currentEntries.containsKey(oldest.next())) {
+			String id = oldest.next();
+			if (!this.currentEntries.containsKey(id) && !this.addTimes.containsKey(id)) {
 				oldest.remove();
 			}
 		}
@@ -137,11 +176,14 @@
 	/**
 	 * Handles the removal of a published entry.
 	 * @param id identifier of the target
+	 * @param removedAt position of the removal
 	 * @param now current monotonic time in milliseconds
 	 * @return the former entry if the target is dropped; empty if it is unknown or kept
 	 * for the grace period
 	 */
-	public Optional<TargetEntry> remove(String id, long now) {
+	public Optional<TargetEntry> remove(String id, SourcePosition removedAt, long now) {
+		this.addTimes.remove(id);
+		this.lastSeenEntries.computeIfPresent(id, (key, seen) -> seen.removedAt(removedAt));
 		TargetEntry entry = this.currentEntries.get(id);
 		if (entry == null) {
 			return Optional.empty();
@@ -156,6 +198,26 @@
 		return Optional.of(this.currentEntries.remove(id));
 	}
 
+	/**
+	 * Adds the entries that a restored source still has after the time for which they
+	 * were held back.
+	 * @param now current monotonic time in milliseconds
+	 * @return the added entries
+	 */
+	public List<TargetEntry> addHeldBack(long now) {
+		List<TargetEntry> added = this.addTimes.entrySet()
+			.stream()
+			.filter((time) -> time.getValue() <= now)
+			.map((time) -> this.lastSeenEntries.get(time.getKey()).entry())
+			.toList();
+		added.forEach((entry) -> {
+			this.addTimes.remove(entry.id());
+			this.currentEntries.put(entry.id(), entry);
+			this.directory = null;
+		});
+		return added;
+	}
+
 	/**
 	 * Drops the targets that were not published again within the grace period.
 	 * @param now current monotonic time in milliseconds
@@ -186,4 +248,39 @@
 		return this.directory;
 	}
 
+	/**
+	 * Newest entry seen of a target.
+	 *
+	 * @param entry the entry
+	 * @param writtenAt position at which it was written
+	 * @param removedAt position at which the source removed it;
+	 * {@link SourcePosition#NONE} if it did not
+	 */
+	private record SeenEntry(TargetEntry entry, SourcePosition writtenAt, SourcePosition removedAt) {
+
+		/**
+		 * Returns whether an entry is older than this one.
+		 */
+		boolean supersedes(TargetEntry other) {
+			return other.isOlderThan(this.entry);
+		}
+
+		/**
+		 * Returns whether the source had removed this entry in an earlier era than that
+		 * of an equally old one.
+		 */
+		boolean leftBefore(TargetEntry other, SourcePosition otherWrittenAt) {
+			return isRemoved() && !this.entry.isOlderThan(other) && this.removedAt.era() < otherWrittenAt.era();
+		}
+
+		private boolean isRemoved() {
+			return this.removedAt.hasContent();
+		}
+
+		SeenEntry removedAt(SourcePosition position) {
+			return new SeenEntry(this.entry, this.writtenAt, position);
+		}
+
+	}
+
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentExchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentExchange.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import org.eelgrasspitch.mesh.SourceDelta;
+import org.eelgrasspitch.mesh.SourcePosition;
 import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
 
 /**
@@ -11,17 +12,17 @@
 interface DocumentExchange {
 
 	/**
-	 * Computes the changes in a document after a revision.
+	 * Computes the changes in a document after a position.
 	 * @param channel the document
-	 * @param since revision that the peer holds; 0 for the complete document
+	 * @param held position that the peer holds
 	 * @param answer receives the delta, or the complete document if the changes since
-	 * that revision are not known any more; called on the thread that owns the documents
+	 * that position are not known; called on the thread that owns the documents
 	 */
-	void deltaSince(SourceChannel channel, long since, Consumer<SourceDelta> answer);
+	void deltaSince(SourceChannel channel, SourcePosition held, Consumer<SourceDelta> answer);
 
 	/**
 	 * Applies a delta received from a peer. It is ignored unless it starts at or before
-	 * the revision held here and leads beyond it.
+	 * the position held here and leads beyond it.
 	 * @param channel the document
 	 * @param delta the delta
 	 * @param peer name of the peer's VM
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.TimeUnit;
 
 import org.eelgrasspitch.mesh.PullSchedule;
+import org.eelgrasspitch.mesh.SourcePosition;
 import org.eelgrasspitch.mesh.SourceReaders.Report;
+import org.eelgrasspitch.proxy.generated.LinkBeat;
 import org.eelgrasspitch.proxy.generated.LinkDocument;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
 import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
@@ -56,29 +58,26 @@
 		RoutingState previous = this.state;
 		this.state = newState;
 		for (SourceChannel channel : SourceChannel.values()) {
-			int index = channel.ordinal();
 			if (newState.lastDeltaAtMillis(channel) > previous.lastDeltaAtMillis(channel)) {
 				this.pulls.get(channel).deltaReceived();
 			}
 			if (newState.sourceReport() == Report.SERVED
-					&& newState.lastChangeRevisions()[index] > previous.lastChangeRevisions()[index]) {
-				push(channel, previous.lastChangeRevisions()[index], List.copyOf(nearLinks));
+					&& newState.lastChange(channel).isAfter(previous.lastChange(channel))) {
+				push(channel, previous.lastChange(channel), List.copyOf(nearLinks));
 			}
 		}
 	}
 
 	/**
-	 * Schedules a pull of each document that has changed at the peer since the revision
+	 * Schedules a pull of each document that has changed at the peer since the position
 	 * held here.
 	 * @param link link to the peer
-	 * @param lastChangeRevisions revision of the last change of each document at the
-	 * peer, by channel ordinal
+	 * @param beat heartbeat of the peer
 	 */
-	void handlePeerRevisions(Link link, List<Long> lastChangeRevisions) {
+	void handleHeartbeat(Link link, LinkBeat beat) {
 		for (SourceChannel channel : SourceChannel.values()) {
-			int index = channel.ordinal();
-			if (index >= lastChangeRevisions.size()
-					|| lastChangeRevisions.get(index) <= this.state.revisions()[index]) {
+			SourcePosition held = this.state.position(channel);
+			if (!LinkFrames.lastChange(beat, channel, held.era()).isAfter(held)) {
 				continue;
 			}
 			this.pulls.get(channel)
@@ -95,7 +94,8 @@
 	 */
 	void handlePull(Link link, LinkPull pull) {
 		SourceChannel channel = LinkFrames.channelFromWire(pull.getDocument());
-		this.documents.deltaSince(channel, pull.getSince(), (delta) -> {
+		SourcePosition held = LinkFrames.heldPosition(pull, this.state.position(channel).era());
+		this.documents.deltaSince(channel, held, (delta) -> {
 			EncodedMessage message = encode(LinkFrames.toWire(channel, delta), pull.isPacked());
 			this.context.loop().execute(() -> {
 				if (link.isOpen()) {
@@ -106,7 +106,8 @@
 	}
 
 	void handleDocument(LinkDocument document, String peer) {
-		this.documents.offer(LinkFrames.channelFromWire(document.getDocument()), LinkFrames.fromWire(document), peer);
+		SourceChannel channel = LinkFrames.channelFromWire(document.getDocument());
+		this.documents.offer(channel, LinkFrames.fromWire(document, this.state.position(channel).era()), peer);
 	}
 
 	/**
@@ -119,8 +120,8 @@
 		this.documents.offerPacked(packed, peer);
 	}
 
-	private void push(SourceChannel channel, long since, List<Link> nearLinks) {
-		this.documents.deltaSince(channel, since, (delta) -> {
+	private void push(SourceChannel channel, SourcePosition held, List<Link> nearLinks) {
+		this.documents.deltaSince(channel, held, (delta) -> {
 			EncodedMessage message = encode(LinkFrames.toWire(channel, delta), true);
 			this.context.loop()
 				.execute(() -> nearLinks.stream()
@@ -141,8 +142,9 @@
 		boolean sent = this.pulls.get(channel)
 			.start(link.isNear(), link.isOpen(), this.state.lastDeltaAtMillis(channel), this.context.now());
 		if (sent) {
-			int index = channel.ordinal();
-			link.send(LinkMessage.pull(new LinkPull((byte) index, this.state.revisions()[index]).setPacked(true)));
+			SourcePosition held = this.state.position(channel);
+			link.send(LinkMessage
+				.pull(new LinkPull((byte) channel.ordinal(), held.revision()).setPacked(true).setEra(held.era())));
 		}
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -400,7 +400,7 @@
 			this.peerReport = report;
 			this.links.updateRole();
 		}
-		this.links.replicator().handlePeerRevisions(this, beat.getChanges());
+		this.links.replicator().handleHeartbeat(this, beat);
 	}
 
 	private void updateLoad(TargetLoad reportedLoad) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkFrames.java
@@ -13,9 +13,11 @@
 import org.apache.thrift.transport.TMemoryInputTransport;
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.mesh.SourcePosition;
 import org.eelgrasspitch.mesh.TargetLoad;
 import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.Zlib;
+import org.eelgrasspitch.proxy.generated.LinkBeat;
 import org.eelgrasspitch.proxy.generated.LinkCall;
 import org.eelgrasspitch.proxy.generated.LinkDocument;
 import org.eelgrasspitch.proxy.generated.LinkFailure;
@@ -23,6 +25,7 @@
 import org.eelgrasspitch.proxy.generated.LinkLoad;
 import org.eelgrasspitch.proxy.generated.LinkMessage;
 import org.eelgrasspitch.proxy.generated.LinkPackedDocument;
+import org.eelgrasspitch.proxy.generated.LinkPull;
 import org.eelgrasspitch.proxy.generated.LinkReply;
 
 /**
@@ -160,15 +163,43 @@
 			.stream()
 			.map((item) -> new LinkItem(item.key(), ByteBuffer.wrap(item.value()), item.revision()))
 			.toList();
-		return new LinkDocument((byte) channel.ordinal(), delta.from(), delta.to(), items, delta.removed());
+		return new LinkDocument((byte) channel.ordinal(), delta.from(), delta.to(), items, delta.removed())
+			.setEra(delta.era());
 	}
 
-	static SourceDelta fromWire(LinkDocument document) {
+	/**
+	 * Converts a document.
+	 * @param document the document
+	 * @param heldEra era of the source that this node knows
+	 * @return the delta
+	 */
+	static SourceDelta fromWire(LinkDocument document, long heldEra) {
 		List<SourceItem> items = document.getItems()
 			.stream()
 			.map((item) -> new SourceItem(item.getKey(), item.getValue(), item.getRevision()))
 			.toList();
-		return new SourceDelta(document.getSince(), document.getUpTo(), items, document.getRemoved());
+		return new SourceDelta(document.isSetEra() ? document.getEra() : heldEra, document.getSince(),
+				document.getUpTo(), items, document.getRemoved());
+	}
+
+	/**
+	 * Returns the position of the last change of a document that a heartbeat names.
+	 * @param beat the heartbeat
+	 * @param channel the document
+	 * @param heldEra era of the source that this node knows
+	 * @return the position, or {@link SourcePosition#NONE} if the heartbeat names none
+	 */
+	static SourcePosition lastChange(LinkBeat beat, SourceChannel channel, long heldEra) {
+		int index = channel.ordinal();
+		if (index >= beat.getChangesSize()) {
+			return SourcePosition.NONE;
+		}
+		long era = (index < beat.getErasSize()) ? beat.getEras().get(index) : heldEra;
+		return new SourcePosition(era, beat.getChanges().get(index));
+	}
+
+	static SourcePosition heldPosition(LinkPull pull, long heldEra) {
+		return new SourcePosition(pull.isSetEra() ? pull.getEra() : heldEra, pull.getSince());
 	}
 
 	static SourceChannel channelFromWire(byte ordinal) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import org.eelgrasspitch.mesh.LinkSelection;
+import org.eelgrasspitch.mesh.SourcePosition;
 import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.proxy.generated.LinkBeat;
@@ -149,8 +150,7 @@
 			sendHeartbeats(Link::isNear);
 		}
 		this.replicator.updateState(newState, usableNearLinks());
-		if (newState.sourceReport() == Report.SERVED
-				&& !Arrays.equals(newState.lastChangeRevisions(), previous.lastChangeRevisions())) {
+		if (newState.sourceReport() == Report.SERVED && !newState.lastChanges().equals(previous.lastChanges())) {
 			sendHeartbeats((link) -> !link.isNear());
 		}
 		updateRole();
@@ -403,9 +403,11 @@
 	}
 
 	private EncodedMessage heartbeat() {
-		List<Long> changes = Arrays.stream(this.state.lastChangeRevisions()).boxed().toList();
-		return EncodedMessage.of(LinkMessage.beat(new LinkBeat(changes, LinkFrames.toWire(this.home.load()))
-			.setSource((byte) this.state.sourceReport().ordinal())));
+		List<SourcePosition> changes = this.state.lastChanges();
+		return EncodedMessage.of(LinkMessage.beat(new LinkBeat(changes.stream().map(SourcePosition::revision).toList(),
+				LinkFrames.toWire(this.home.load()))
+			.setSource((byte) this.state.sourceReport().ordinal())
+			.setEras(changes.stream().map(SourcePosition::era).toList())));
 	}
 
 	private ChannelInitializer<Channel> initializer(boolean outbound) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -69,6 +69,11 @@
 	/** The source of documents responds again. */
 	SOURCE_RETURNED(5),
 
+	/**
+	 * The source was restored from an older copy; its revisions belong to a later era.
+	 */
+	SOURCE_RESTORED(5),
+
 	/** This node starts to read the source for its failure domain. */
 	READING_STARTED(5),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/NodeStateReporter.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/NodeStateReporter.java
@@ -43,10 +43,9 @@
 		ProxySettings settings = this.context.settings();
 		return new NodeStateReport(settings.vm(), settings.failureDomain(),
 				(state.config() != null) ? state.config().version() : 0,
-				state.revisions()[SourceChannel.CONFIG.ordinal()], now - state.lastDeltaAtMillis(SourceChannel.CONFIG),
-				state.revisions()[SourceChannel.TARGETS.ordinal()],
-				now - state.lastDeltaAtMillis(SourceChannel.TARGETS), this.stateKeeper.isSourceLost(),
-				this.links.openLinkCount(), targets, budgets);
+				state.position(SourceChannel.CONFIG).revision(), now - state.lastDeltaAtMillis(SourceChannel.CONFIG),
+				state.position(SourceChannel.TARGETS).revision(), now - state.lastDeltaAtMillis(SourceChannel.TARGETS),
+				this.stateKeeper.isSourceLost(), this.links.openLinkCount(), targets, budgets);
 	}
 
 	private NodeStateReport.Target target(TargetEntry target) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -42,7 +42,7 @@
 	void placed(MeshRoute route, int rank, TargetChoice choice, RoutingState state, long leftMillis, long now) {
 		this.trace.logIfKept(LogEvent.REQUEST_PLACED, "route", route.name(), "rank", rank, "target",
 				choice.target().id(), "left_ms", leftMillis, "targets_revision",
-				state.revisions()[SourceChannel.TARGETS.ordinal()], "targets_age_ms",
+				state.position(SourceChannel.TARGETS).revision(), "targets_age_ms",
 				now - state.lastDeltaAtMillis(SourceChannel.TARGETS), "candidates",
 				new Candidates(choice.candidates()));
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.proxy;
 
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.eelgrasspitch.mesh.SourceDelta;
 import org.eelgrasspitch.mesh.SourceDocument;
 import org.eelgrasspitch.mesh.SourceItem;
+import org.eelgrasspitch.mesh.SourcePosition;
 import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.mesh.TargetRegistry;
@@ -135,7 +137,8 @@
 		this.control.execute(() -> {
 			this.ownReport = Report.NONE;
 			if (reading) {
-				this.source.resume(Math.min(revision(SourceChannel.CONFIG), revision(SourceChannel.TARGETS)));
+				this.source
+					.resume(Collections.min(List.of(position(SourceChannel.CONFIG), position(SourceChannel.TARGETS))));
 			}
 			else {
 				this.source.pause();
@@ -164,7 +167,8 @@
 			this.sourceLostAtMillis = this.time.monotonicMillis();
 			this.targetRegistry.sourceLost();
 			this.log.logNodeEvent(LogEvent.SOURCE_LOST, "reason", reason, "config_revision",
-					revision(SourceChannel.CONFIG), "targets_revision", revision(SourceChannel.TARGETS));
+					position(SourceChannel.CONFIG).revision(), "targets_revision",
+					position(SourceChannel.TARGETS).revision());
 		}
 	}
 
@@ -179,18 +183,29 @@
 		this.control.schedule(this::expireTargets, TargetRegistry.REPUBLISH_GRACE_MILLIS + 1, TimeUnit.MILLISECONDS);
 	}
 
+	private void handleSourceRestored(SourceChannel channel, SourcePosition held, SourceDelta delta) {
+		this.log.logNodeEvent(LogEvent.SOURCE_RESTORED, "document", channel, "era", delta.era(), "revision", delta.to(),
+				"held_era", held.era(), "held_revision", held.revision());
+		if (channel == SourceChannel.TARGETS) {
+			this.targetRegistry.sourceRestored(this.time.monotonicMillis());
+			this.control.schedule(this::expireTargets, TargetRegistry.REPUBLISH_GRACE_MILLIS + 1,
+					TimeUnit.MILLISECONDS);
+			this.control.schedule(this::expireTargets, TargetRegistry.RESTORED_ENTRY_MILLIS + 1, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	@Override
-	public void deltaSince(SourceChannel channel, long since, Consumer<SourceDelta> answer) {
-		this.control.execute(() -> answer.accept(this.documents.get(channel).deltaSince(since)));
+	public void deltaSince(SourceChannel channel, SourcePosition held, Consumer<SourceDelta> answer) {
+		this.control.execute(() -> answer.accept(this.documents.get(channel).deltaSince(held)));
 	}
 
 	@Override
 	public void offer(SourceChannel channel, SourceDelta delta, String peer) {
 		this.control.execute(() -> {
-			long heldRevision = revision(channel);
+			SourcePosition held = position(channel);
 			if (apply(channel, delta)) {
 				this.log.logNodeEvent(LogEvent.PEER_UPDATE, "peer", peer, "document", channel, "from_revision",
-						heldRevision, "to_revision", delta.to(), "items", delta.items().size());
+						held.revision(), "to_revision", delta.to(), "items", delta.items().size());
 				if (this.ownReport != Report.NONE) {
 					this.source.refresh();
 				}
@@ -203,7 +218,8 @@
 		this.control.execute(() -> {
 			try {
 				LinkDocument document = LinkFrames.unpack(packed);
-				offer(LinkFrames.channelFromWire(document.getDocument()), LinkFrames.fromWire(document), peer);
+				SourceChannel channel = LinkFrames.channelFromWire(document.getDocument());
+				offer(channel, LinkFrames.fromWire(document, position(channel).era()), peer);
 			}
 			catch (TException | IllegalArgumentException ex) {
 				this.log.logNodeEvent(LogEvent.PEER_DOCUMENT_REFUSED, "peer", peer, "reason", ex.getMessage());
@@ -211,15 +227,19 @@
 		});
 	}
 
-	private long revision(SourceChannel channel) {
-		return this.documents.get(channel).revision();
+	private SourcePosition position(SourceChannel channel) {
+		return this.documents.get(channel).position();
 	}
 
 	private boolean apply(SourceChannel channel, SourceDelta delta) {
+		SourcePosition held = position(channel);
 		List<String> removed = this.documents.get(channel).apply(delta);
 		if (removed == null) {
 			return false;
 		}
+		if (held.hasContent() && delta.era() > held.era()) {
+			handleSourceRestored(channel, held, delta);
+		}
 		long now = this.time.monotonicMillis();
 		this.lastDeltaAtMillis[channel.ordinal()] = now;
 		switch (channel) {
@@ -287,31 +307,35 @@
 
 	private void applyTargets(SourceDelta delta, List<String> removed, long now) {
 		for (String id : removed) {
-			this.targetRegistry.remove(id, now).ifPresent((entry) -> logRemoved(entry, "removed"));
+			this.targetRegistry.remove(id, delta.end(), now).ifPresent((entry) -> logRemoved(entry, "removed"));
 		}
 		if (!removed.isEmpty()) {
 			this.control.schedule(this::expireTargets, TargetRegistry.OUTAGE_GRACE_MILLIS + 1, TimeUnit.MILLISECONDS);
 		}
-		delta.items().forEach((item) -> applyTarget(item, now));
+		delta.items().forEach((item) -> applyTarget(item, new SourcePosition(delta.era(), item.revision()), now));
 	}
 
-	private void applyTarget(SourceItem item, long now) {
+	private void applyTarget(SourceItem item, SourcePosition writtenAt, long now) {
 		Either<List<Problem>, TargetEntry> decoded = this.decoder.target(item);
 		if (decoded.isLeft()) {
 			this.log.logNodeEvent(LogEvent.TARGET_IGNORED, "target", item.key(), "revision", item.revision(), "first",
 					decoded.getLeft().getFirst());
-			this.targetRegistry.remove(item.key(), now).ifPresent((entry) -> logRemoved(entry, "unreadable"));
+			this.targetRegistry.remove(item.key(), writtenAt, now)
+				.ifPresent((entry) -> logRemoved(entry, "unreadable"));
 			this.control.schedule(this::expireTargets, TargetRegistry.OUTAGE_GRACE_MILLIS + 1, TimeUnit.MILLISECONDS);
 			return;
 		}
 		TargetEntry entry = decoded.get();
-		if (this.targetRegistry.put(entry)) {
-			this.log.logNodeEvent(entry.draining() ? LogEvent.TARGET_LEAVING : LogEvent.TARGET_SEEN, "target",
-					entry.id(), "service", entry.service(), "address", entry.address(), "slots", entry.slots(),
-					"revision", item.revision());
+		if (this.targetRegistry.put(entry, writtenAt)) {
+			logPublished(entry, item.revision());
 		}
 	}
 
+	private void logPublished(TargetEntry entry, long revision) {
+		this.log.logNodeEvent(entry.draining() ? LogEvent.TARGET_LEAVING : LogEvent.TARGET_SEEN, "target", entry.id(),
+				"service", entry.service(), "address", entry.address(), "slots", entry.slots(), "revision", revision);
+	}
+
 	private void logRemoved(TargetEntry entry, String reason) {
 		this.log.logNodeEvent(LogEvent.TARGET_GONE, "target", entry.id(), "service", entry.service(), "reason", reason);
 	}
@@ -319,18 +343,19 @@
 	private void expireTargets() {
 		List<TargetEntry> dropped = this.targetRegistry.expire(this.time.monotonicMillis());
 		dropped.forEach((entry) -> logRemoved(entry, "lapsed"));
-		if (!dropped.isEmpty()) {
+		List<TargetEntry> added = this.targetRegistry.addHeldBack(this.time.monotonicMillis());
+		added.forEach((entry) -> logPublished(entry, position(SourceChannel.TARGETS).revision()));
+		if (!dropped.isEmpty() || !added.isEmpty()) {
 			publish();
 		}
 	}
 
 	private void publish() {
-		long[] revisions = { revision(SourceChannel.CONFIG), revision(SourceChannel.TARGETS) };
-		long[] changes = { this.documents.get(SourceChannel.CONFIG).lastChangeRevision(),
-				this.documents.get(SourceChannel.TARGETS).lastChangeRevision() };
-		this.publisher
-			.accept(new RoutingState(this.config, this.targetRegistry.directory(), revision(SourceChannel.TARGETS) > 0,
-					revisions, changes, this.lastDeltaAtMillis.clone(), this.ownReport));
+		List<SourcePosition> positions = this.documents.values().stream().map(SourceDocument::position).toList();
+		List<SourcePosition> lastChanges = this.documents.values().stream().map(SourceDocument::lastChange).toList();
+		this.publisher.accept(new RoutingState(this.config, this.targetRegistry.directory(),
+				position(SourceChannel.TARGETS).hasContent(), positions, lastChanges, this.lastDeltaAtMillis.clone(),
+				this.ownReport));
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Source.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Source.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.proxy;
 
+import org.eelgrasspitch.mesh.SourcePosition;
+
 /**
  * Source of the published documents. Implemented by the adapter of a deployment.
  */
@@ -25,9 +27,9 @@
 
 	/**
 	 * Reads and watches the documents again after a pause. Called on the control thread.
-	 * @param revision revision up to which all documents are complete; changes before it
-	 * are not reported again. If it is 0, the complete documents are read.
+	 * @param position position up to which all documents are complete; changes before it
+	 * are not reported again. If it has no content, the complete documents are read.
 	 */
-	void resume(long revision);
+	void resume(SourcePosition position);
 
 }
--- a/proxy/src/main/thrift/links.thrift
+++ b/proxy/src/main/thrift/links.thrift
@@ -41,6 +41,8 @@
   2: required LinkLoad load
   // 0 or absent: the sender does not read the source of documents; 1: the source answers it; 2: it does not
   3: optional i8 source
+  // Era of the source to which each revision belongs, in the same order; absent: the receiver's era
+  4: optional list<i64> eras
 }
 
 // Opens a call. Stream numbers are assigned by the side that opens the call.
@@ -138,6 +140,8 @@
   2: required i64 since
   // Whether the sender accepts a packed document.
   3: optional bool packed
+  // Era of the source to which the revision belongs; absent: the receiver's era
+  4: optional i64 era
 }
 
 struct LinkItem {
@@ -155,6 +159,8 @@
   3: required i64 upTo
   4: required list<LinkItem> items
   5: required list<string> removed
+  // Era of the source to which the revisions belong; absent: the receiver's era
+  6: optional i64 era
 }
 
 // A document in a smaller form: a LinkDocument in the compact protocol, compressed in zlib format.
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/IdleSource.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/IdleSource.java
@@ -1,5 +1,7 @@
 package org.eelgrasspitch.proxy;
 
+import org.eelgrasspitch.mesh.SourcePosition;
+
 /**
  * A source that reads nothing and reports nothing.
  */
@@ -21,7 +23,7 @@
 	}
 
 	@Override
-	public void resume(long revision) {
+	public void resume(SourcePosition position) {
 		// It never reads.
 	}
 
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
@@ -118,7 +118,7 @@
 		for (String content : contents) {
 			SourceItem item = new SourceItem("op", content.getBytes(StandardCharsets.UTF_8), revision + 1);
 			keeper.documentRead(SourceChannel.CONFIG,
-					new SourceDelta(revision, revision + 1, List.of(item), List.of()));
+					new SourceDelta(1, revision, revision + 1, List.of(item), List.of()));
 			revision++;
 		}
 	}
--- a/scenarios/src/test/resources/features/platform.feature
+++ b/scenarios/src/test/resources/features/platform.feature
@@ -182,6 +182,33 @@
     And the operators add the route /new/ to desk
     Then within 3 s a requester at pay-a gets status 200 for GET /new/ok
 
+  # review/2: no version was applied until the revision of the restored store had passed the former one.
+  Scenario: A change applies after the store was restored from an older copy
+    When a copy of the store is taken
+    And the operators add the route /new/ to desk
+    And the operators add the route /new/ to pay
+    And the operators add the route /new/ to desk
+    And the operators add the route /new/ to pay
+    And the operators remove the further route
+    Then within 2 s a requester at pay-a gets status 404 for GET /new/ok
+    When the store is restored from its copy
+    And the operators remove the further route
+    And 500 ms pass
+    And the operators add the route /late/ to desk
+    Then within 2 s a requester at pay-a gets status 200 for GET /late/ok
+    And within 2 s a requester at desk-a gets status 200 for GET /late/ok
+    And within 2 s a requester at desk-b gets status 200 for GET /late/ok
+
+  # A server that had left was listed again by the restored store and got requests.
+  Scenario: A server that left before the store was restored gets nothing
+    When a copy of the store is taken
+    And the entries of desk-a lapse
+    And 500 ms pass
+    And the store is restored from its copy
+    And 500 ms pass
+    Then after 500 ms no request from pay-a for /desk/ok reaches desk-a
+    And for 1 s a requester at pay-a gets status 200 for GET /desk/ok
+
   Scenario: A crashed server is passed over and used again
     When the server at desk-a crashes
     Then for 2 s a requester at pay-a gets status 200 for GET /desk/ok
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/StoreStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/StoreStandIn.java
@@ -21,7 +21,7 @@
 
 /**
  * Stands in for the platform's key-value store: items under one revision counter, paged
- * listing, long-poll watches, compaction and switchable faults.
+ * listing, long-poll watches, compaction, restoration from a copy and switchable faults.
  */
 public final class StoreStandIn implements AutoCloseable {
 
@@ -58,6 +58,12 @@
 	 */
 	private long compactedRevision;
 
+	/** Number of restorations, plus one; named in every response. */
+	private long era = 1;
+
+	/** The copy that was taken last; null before the first. */
+	private Copy copy;
+
 	private volatile Fault fault = Fault.NONE;
 
 	/**
@@ -117,6 +123,26 @@
 		this.compactedRevision = this.revision;
 	}
 
+	/**
+	 * Takes a copy of the items and the history.
+	 */
+	public synchronized void takeCopy() {
+		this.copy = new Copy(new TreeMap<>(this.items), List.copyOf(this.events), this.revision);
+	}
+
+	/**
+	 * Restores the copy that was taken last. What was written since is lost, its
+	 * revisions are given out again, and a later era begins.
+	 */
+	public synchronized void restoreCopy() {
+		this.items.clear();
+		this.items.putAll(this.copy.items);
+		this.events.clear();
+		this.events.addAll(this.copy.events);
+		this.revision = this.copy.revision;
+		this.era++;
+	}
+
 	/**
 	 * Sets the fault that applies from now on.
 	 * @param fault the fault; {@link Fault#NONE} ends the current one
@@ -190,8 +216,13 @@
 	private void watch(HttpExchange exchange, Map<String, String> query) throws IOException {
 		long after = Long.parseLong(query.get("after"));
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.get("wait_ms")));
+		long askedEra = era();
 		while (true) {
-			if (isCompacted(after)) {
+			if (era() != askedEra) {
+				exchange.close();
+				return;
+			}
+			if (!isAvailable(after)) {
 				respond(exchange, GONE, "{}");
 				return;
 			}
@@ -207,8 +238,12 @@
 		}
 	}
 
-	private synchronized boolean isCompacted(long after) {
-		return after < this.compactedRevision;
+	private synchronized boolean isAvailable(long after) {
+		return after >= this.compactedRevision && after <= this.revision;
+	}
+
+	private synchronized long era() {
+		return this.era;
 	}
 
 	private synchronized String changes(String prefix, long after) {
@@ -225,8 +260,9 @@
 				+ item.revision + ",\"create_rev\":" + item.revision + ",\"lease\":0}";
 	}
 
-	private static void respond(HttpExchange exchange, int status, String body) throws IOException {
+	private void respond(HttpExchange exchange, int status, String body) throws IOException {
 		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
 		exchange.sendResponseHeaders(status, bytes.length);
 		try (exchange) {
 			exchange.getResponseBody().write(bytes);
@@ -279,6 +315,10 @@
 
 	}
 
+	private record Copy(TreeMap<String, Item> items, List<Event> events, long revision) {
+
+	}
+
 	private record Event(String key, long revision, Item item) {
 
 	}
