Take a response without a length for whole only at the end of the stream

Cause: Netty's decoder ends a response without a length whenever the channel closes. While bytes of the upload wait to be written, the write sees the reset before a read does, and closes the channel without an exception in the pipeline. TargetConnection took the last part that the decoder then produces for the end of the response. Ruled out: the reset seen by a read, which raises an exception first (AnswerEndTests passed for it before the change).

Change: connections to the target allow half-closure, so the end of the stream reaches the decoder while the channel is active. A last part that arrives on a closed channel counts as broken off.

Answers cut in their head were not passed on before either.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -37,6 +38,12 @@
  * connection. So does a target that sends more than a bounded number of responses and
  * bytes that do not belong to the call. The body of a refusal, or of a response that
  * nobody waits for, is read to its end only so that the connection can be used again.
+ * <p>
+ * A response without a length ends with the connection, and only the end of the stream
+ * completes it. The decoder ends such a response whenever the channel closes, also after
+ * a reset that a write has seen before a read. The channel therefore stays open at the
+ * end of the stream (half-closure), and a last part that arrives when it is closed
+ * already counts as broken off.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -235,6 +242,18 @@
 		}
 	}
 
+	/**
+	 * Closes the connection at the end of the stream, after the decoder has ended a
+	 * response without a length.
+	 */
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event == ChannelInputShutdownEvent.INSTANCE) {
+			failConnection(FailureReason.TARGET_BROKE_OFF);
+		}
+		context.fireUserEventTriggered(event);
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		failConnection((cause instanceof IOException) ? FailureReason.TARGET_BROKE_OFF : FailureReason.TARGET_GARBLED);
@@ -314,6 +333,10 @@
 
 	private void handleContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
+		if (last && !this.channel.isActive()) {
+			failConnection(FailureReason.TARGET_BROKE_OFF);
+			return;
+		}
 		if (this.skippingResponse) {
 			if (!mayDrop(content, MAX_SKIPPED_BYTES)) {
 				failConnection(FailureReason.TARGET_GARBLED);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -61,7 +61,7 @@
 	TargetConnector(ProxyContext context, HomeService home) {
 		this.context = context;
 		this.home = home;
-		this.bootstrap = Bootstraps.client(context.loop());
+		this.bootstrap = Bootstraps.client(context.loop()).option(ChannelOption.ALLOW_HALF_CLOSURE, true);
 	}
 
 	/**
