Take a target's answer for lost if the write of its request saw the reset

Cause: when writing the request fails, the HTTP library still reads what the target has answered. The failed write has taken the reset from the socket, so the read sees the end of the stream, which ends a response without a length.

Change: TargetClient reports such a response as lost (outcome unknown) unless the whole request was written.

--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -41,6 +41,10 @@
  * because bytes may have arrived. This includes a connect timeout, although nothing was
  * sent then. A response of status 503 with the header {@code Request-Ran: no} is trusted
  * and yields {@link CallOutcome.NotRun}.
+ * <p>
+ * A response without a length ends with its connection. If writing the request fails, the
+ * HTTP library still reads what the target has answered, and the reset that the write has
+ * seen then looks like the end of the stream. Such a response counts as lost.
  */
 final class TargetClient implements AutoCloseable {
 
@@ -95,15 +99,15 @@
 	 */
 	Call send(CallMessage.Request request, long timeoutMillis, Consumer<TargetStatement> statements,
 			Consumer<CallOutcome> callback) {
-		Request.Builder builder = new Request.Builder().url(url(request.route().operation()))
-			.post(new OneShotBody(request.body()));
+		OneShotBody body = new OneShotBody(request.body());
+		Request.Builder builder = new Request.Builder().url(url(request.route().operation())).post(body);
 		request.headers().forEach((header) -> builder.header(header.name(), header.value()));
 		builder.header("Request-Id", request.requestId())
 			.header("Request-Deadline-Millis", Long.toString(timeoutMillis))
 			.header("Config-Version", Long.toString(request.revision()));
 		Call call = this.client.newCall(builder.build());
 		call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-		call.enqueue(new ResponseHandler(statements, callback));
+		call.enqueue(new ResponseHandler(body, statements, callback));
 		return call;
 	}
 
@@ -152,10 +156,11 @@
 	/**
 	 * Converts the result of a call into an outcome.
 	 *
+	 * @param body body of the request
 	 * @param statements receives what the target states about itself
 	 * @param callback receives the outcome
 	 */
-	private record ResponseHandler(Consumer<TargetStatement> statements,
+	private record ResponseHandler(OneShotBody body, Consumer<TargetStatement> statements,
 			Consumer<CallOutcome> callback) implements Callback {
 
 		@Override
@@ -190,7 +195,7 @@
 			return "leaving".equals(response.header("Target-State"));
 		}
 
-		private static CallOutcome outcome(Response response) throws IOException {
+		private CallOutcome outcome(Response response) throws IOException {
 			if (isRefusal(response)) {
 				return new CallOutcome.NotRun(isLeaving(response) ? Reason.LEAVING : Reason.TARGET_REFUSED, 0);
 			}
@@ -198,14 +203,21 @@
 			if (source.request(WireLimits.MAX_BODY_BYTES + 1L)) {
 				return new CallOutcome.Unknown(Reason.ANSWER_TOO_LONG);
 			}
-			byte[] body = source.readByteArray();
+			if (endsWithConnection(response) && !this.body.isWritten()) {
+				return new CallOutcome.Unknown(Reason.ANSWER_LOST);
+			}
+			byte[] content = source.readByteArray();
 			List<Header> headers = new ArrayList<>();
 			response.headers().forEach((pair) -> {
 				if (!NOT_FORWARDED_HEADERS.contains(pair.getFirst().toLowerCase(Locale.ROOT))) {
 					headers.add(new Header(pair.getFirst(), pair.getSecond()));
 				}
 			});
-			return new CallOutcome.Answered(response.code(), headers, body);
+			return new CallOutcome.Answered(response.code(), headers, content);
+		}
+
+		private static boolean endsWithConnection(Response response) {
+			return response.header("Content-Length") == null && response.header("Transfer-Encoding") == null;
 		}
 
 	}
@@ -217,6 +229,9 @@
 
 		private final byte[] content;
 
+		/** Whether the system has accepted the whole body. */
+		private volatile boolean written;
+
 		OneShotBody(byte[] content) {
 			this.content = content;
 		}
@@ -239,6 +254,12 @@
 		@Override
 		public void writeTo(BufferedSink sink) throws IOException {
 			sink.write(this.content);
+			sink.flush();
+			this.written = true;
+		}
+
+		boolean isWritten() {
+			return this.written;
 		}
 
 	}
