Recognise a start of a target after the clock of its VM was set back

Callers would see: a target that started again under its identifier after a clock step gets no requests until its VM's clock has passed the former start.

Cause: TargetRegistry ordered the starts of a target by their time of day alone and ignored each entry of an earlier one.

Change: a start that was not seen before and is written later in the same era of the store is newer whatever its start time, unless the entry of the seen start is draining and still published. Entries of a start that was already replaced stay late ones. Across eras the start time decides as before.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetRegistry.java
@@ -1,5 +1,6 @@
 package org.eelgrasspitch.mesh;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -12,7 +13,10 @@
  * <p>
  * Entries of one start of a target are ordered by their sequence number, not by their
  * arrival. An entry older than one already seen is ignored, so a late entry cannot mark a
- * draining target as ready again. The start with the later start time is the newer one.
+ * draining target as ready again. The start with the later start time is the newer one,
+ * with one exception: a start that was not seen before and is written later in the same
+ * era of the source is newer whatever its start time, because the VM's clock may have
+ * been set back before the target started again.
  * <p>
  * A source that is restored from an older copy has the entries of that time again. Those
  * of targets that have left since are held back until they would have expired
@@ -138,8 +142,8 @@
 	 */
 	public boolean put(TargetEntry entry, SourcePosition writtenAt) {
 		SeenEntry lastSeen = this.lastSeenEntries.remove(entry.id());
-		if (lastSeen != null && lastSeen.supersedes(entry)) {
-			this.lastSeenEntries.put(entry.id(), lastSeen);
+		if (lastSeen != null && lastSeen.supersedes(entry, writtenAt)) {
+			this.lastSeenEntries.put(entry.id(), lastSeen.seenAgainAt(writtenAt));
 			return false;
 		}
 		if (lastSeen != null && lastSeen.leftBefore(entry, writtenAt)) {
@@ -147,7 +151,7 @@
 			this.addTimes.putIfAbsent(entry.id(), this.restoredAtMillis + RESTORED_ENTRY_MILLIS);
 			return false;
 		}
-		this.lastSeenEntries.put(entry.id(), new SeenEntry(entry, writtenAt, SourcePosition.NONE));
+		this.lastSeenEntries.put(entry.id(), SeenEntry.of(entry, writtenAt, lastSeen));
 		evictOldest();
 		this.addTimes.remove(entry.id());
 		this.dropTimes.remove(entry.id());
@@ -252,17 +256,53 @@
 	 * Newest entry seen of a target.
 	 *
 	 * @param entry the entry
-	 * @param writtenAt position at which it was written
+	 * @param writtenAt latest position at which it, or an older entry, was written
 	 * @param removedAt position at which the source removed it;
 	 * {@link SourcePosition#NONE} if it did not
+	 * @param formerStarts start times of the starts that were replaced last, oldest
+	 * first, in Unix milliseconds; empty if there was none
 	 */
-	private record SeenEntry(TargetEntry entry, SourcePosition writtenAt, SourcePosition removedAt) {
+	private record SeenEntry(TargetEntry entry, SourcePosition writtenAt, SourcePosition removedAt,
+			List<Long> formerStarts) {
+
+		/** Maximum number of former starts. */
+		private static final int MAX_FORMER_STARTS = 8;
+
+		/**
+		 * Creates the newest entry of a target.
+		 * @param previous the entry that it replaces; null if there was none
+		 */
+		static SeenEntry of(TargetEntry entry, SourcePosition writtenAt, SeenEntry previous) {
+			return new SeenEntry(entry, writtenAt, SourcePosition.NONE,
+					(previous != null) ? previous.startsBefore(entry) : List.of());
+		}
+
+		private List<Long> startsBefore(TargetEntry next) {
+			long start = this.entry.startUnixMillis();
+			if (start == next.startUnixMillis()) {
+				return this.formerStarts;
+			}
+			List<Long> starts = new ArrayList<>(this.formerStarts);
+			starts.add(start);
+			return List.copyOf(starts.subList(Math.max(0, starts.size() - MAX_FORMER_STARTS), starts.size()));
+		}
 
 		/**
 		 * Returns whether an entry is older than this one.
 		 */
-		boolean supersedes(TargetEntry other) {
-			return other.isOlderThan(this.entry);
+		boolean supersedes(TargetEntry other, SourcePosition otherWrittenAt) {
+			return other.isOlderThan(this.entry) && !isRestart(other, otherWrittenAt);
+		}
+
+		/**
+		 * Returns whether an entry with an earlier start time belongs to a later start.
+		 */
+		private boolean isRestart(TargetEntry other, SourcePosition otherWrittenAt) {
+			boolean unseen = other.startUnixMillis() != this.entry.startUnixMillis()
+					&& !this.formerStarts.contains(other.startUnixMillis());
+			boolean mayHaveEnded = !this.entry.draining() || isRemoved();
+			return unseen && mayHaveEnded && otherWrittenAt.era() == this.writtenAt.era()
+					&& otherWrittenAt.isAfter(this.writtenAt);
 		}
 
 		/**
@@ -277,8 +317,13 @@
 			return this.removedAt.hasContent();
 		}
 
+		SeenEntry seenAgainAt(SourcePosition position) {
+			return position.isAfter(this.writtenAt)
+					? new SeenEntry(this.entry, position, this.removedAt, this.formerStarts) : this;
+		}
+
 		SeenEntry removedAt(SourcePosition position) {
-			return new SeenEntry(this.entry, this.writtenAt, position);
+			return new SeenEntry(this.entry, this.writtenAt, position, this.formerStarts);
 		}
 
 	}
--- a/core/src/test/java/org/eelgrasspitch/mesh/TargetRegistryTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/TargetRegistryTests.java
@@ -101,6 +101,24 @@
 				"new");
 	}
 
+	// A clock that was set back hid the target until its time had caught up.
+	@Test
+	public void aRestartAfterTheClockWasSetBackIsSeen() {
+		TargetRegistry registry = new TargetRegistry();
+		put(registry, entry("t", 50, 200, false));
+		Assert.assertTrue(put(registry, entry("t", 1, 100, false)));
+		Assert.assertEquals(registry.directory().find("t").orElseThrow().startUnixMillis(), 100);
+	}
+
+	@Test
+	public void aRestartAfterTheClockWasSetBackIsSeenOnceTheDrainingEntryIsRemoved() {
+		TargetRegistry registry = new TargetRegistry();
+		put(registry, entry("t", 50, 200, true));
+		Assert.assertFalse(put(registry, entry("t", 1, 100, false)), "the draining target is still published");
+		registry.remove("t", nextPosition(), 1_000);
+		Assert.assertTrue(put(registry, entry("t", 2, 100, false)));
+	}
+
 	// A store that returned from a copy listed targets again that had left.
 	@Test
 	public void aTargetThatLeftIsHeldBackWhenARestoredSourceHasItsEntryAgain() {
