Send no call to a target whose time is over or whose cancellation has been received

Work for callers that had left kept slots busy.

Cause: a home sent a call as soon as it read it. On a node that is short of processor time the call and its cancellation wait in the same socket, and the call was sent before the cancellation behind it was read. A free slot started a call whatever its deadline, and a permitted call was sent without a further look at the deadline or at the drain time, whose timer runs late on a busy event loop. Ruled out: the entry node; it cancels when it answers.

Change: a call that has a slot starts after all messages received so far are handled. Its deadline and the drain time are checked again before it is sent, and the drain time ends by the clock. TargetQueue starts nothing after its deadline. RunningCalls and TargetOutcomes are taken out of HomeService, which had grown.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
@@ -17,11 +17,12 @@
  * number of waiting requests that cannot meet their objective is limited, because each of
  * them delays later ones that can. A request for which a slot is free starts whatever its
  * expected time, because the estimate may be wrong and would never be corrected if the
- * request were refused; a request that was queued starts only before its deadline.
+ * request were refused. No request starts after its deadline.
  * <p>
  * When arrivals exceed the slots for seconds, a FIFO queue grows until no request is
- * served in time. This queue gives the slots to requests that can still meet their
- * objective and refuses the excess early, with a time after which to retry.
+ * served in time, and requests whose callers have stopped waiting take slots from those
+ * whose callers still wait. This queue gives the slots to requests that can still meet
+ * their objective and refuses the excess early, with a time after which to retry.
  * <p>
  * A target that has named a limit is also paced by {@link StartPacer}. Its waiting
  * requests are refused by the time that the limit makes them wait, so that callers and
@@ -104,7 +105,7 @@
 	 * @return requests to start and requests that are refused
 	 */
 	public Decision<T> offer(Job<T> job, int slots, long now) {
-		boolean endsInTime = now + job.expectedMillis() <= this.endAtMillis;
+		boolean endsInTime = now + job.expectedMillis() <= this.endAtMillis && now < job.deadlineAtMillis();
 		if (this.running < slots && this.waiting.isEmpty() && this.pacer.permits(now) > 0 && endsInTime) {
 			this.running++;
 			this.pacer.recordStarts(1, now);
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DrainTimer.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DrainTimer.java
@@ -34,8 +34,6 @@
 	/** Scheduled or past expiry; null while the target is not draining. */
 	private ScheduledFuture<?> expiry;
 
-	private boolean expired;
-
 	/**
 	 * Creates a timer.
 	 * @param loop event loop of the home
@@ -57,24 +55,19 @@
 		if (available && this.expiry != null) {
 			this.expiry.cancel(false);
 			this.expiry = null;
-			this.expired = false;
 		}
 		if (!available && this.expiry == null) {
-			this.expiry = this.loop.schedule(this::expire, this.graceMillis, TimeUnit.MILLISECONDS);
+			this.expiry = this.loop.schedule(this.action, this.graceMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
 	/**
 	 * Returns whether no more calls may be sent to the target.
-	 * @return true from the expiry until the target is available again
+	 * @return true from the expiry until the target is available again, also while a busy
+	 * event loop has not run the action yet
 	 */
 	boolean isExpired() {
-		return this.expired;
-	}
-
-	private void expire() {
-		this.expired = true;
-		this.action.run();
+		return this.expiry != null && this.expiry.getDelay(TimeUnit.MILLISECONDS) <= 0;
 	}
 
 }
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -304,7 +304,7 @@
 	 * @return true if the target is running the parent request that the identifier names
 	 */
 	boolean isNestedCall(String requestId) {
-		return RequestIds.parent(requestId).filter(this.home::isRunning).isPresent();
+		return RequestIds.parent(requestId).filter(this.home.runningCalls()::contains).isPresent();
 	}
 
 	/**
@@ -318,7 +318,7 @@
 		if (isNestedCall(requestId)) {
 			this.home.nestedCallRates().recordCall(service);
 		}
-		if (RequestIds.parent(requestId).filter(this.home::isRunningRetry).isPresent()) {
+		if (RequestIds.parent(requestId).filter(this.home.runningCalls()::containsRetry).isPresent()) {
 			this.retryBudget.recordProbableRetry(service, 1, this.context.now());
 		}
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -13,8 +13,10 @@
 
 /**
  * A call at the home of its target: first in the home's queue, then on a connection to
- * the target. Its request body is buffered until the connection accepts it; the entry
- * node sends at most {@link CallListener#WINDOW_BYTES} ahead.
+ * the target. It is sent to the target only after everything that has been received by
+ * then is handled, because its cancellation may be behind it. Its request body is
+ * buffered until the connection accepts it; the entry node sends at most
+ * {@link CallListener#WINDOW_BYTES} ahead.
  */
 final class HomeCall implements CallHandle {
 
@@ -51,6 +53,9 @@
 	/** Monotonic time at which the call got its slot, in milliseconds; 0 before. */
 	private long claimedAtMillis;
 
+	/** Whether the call may start, and does so unless it is cancelled before. */
+	private boolean startPermitted;
+
 	private final CallLog log;
 
 	HomeCall(HomeService home, CallHead head, CallListener listener, CallLog log, long receivedAtMillis) {
@@ -100,20 +105,17 @@
 
 	/**
 	 * Records that the call has got a slot. If it is not idempotent, asks the entry node
-	 * for permission to start it.
+	 * for permission to start it; otherwise starts it.
 	 * @param now current monotonic time in milliseconds
-	 * @return true if it may be sent to the target at once; false if its entry node was
-	 * asked for permission
 	 */
-	boolean claim(long now) {
+	void claim(long now) {
 		this.claimedAtMillis = now;
+		this.state = State.CLAIMED;
 		if (this.head.idempotent()) {
-			this.state = State.RUNNING;
-			return true;
+			start();
+			return;
 		}
-		this.state = State.CLAIMED;
 		this.listener.startRequested();
-		return false;
 	}
 
 	boolean isClaimed() {
@@ -122,6 +124,13 @@
 
 	@Override
 	public void start() {
+		if (this.state == State.CLAIMED && !this.startPermitted) {
+			this.startPermitted = true;
+			this.home.afterReceived(this::startUnlessCancelled);
+		}
+	}
+
+	private void startUnlessCancelled() {
 		if (this.state == State.CLAIMED) {
 			this.state = State.RUNNING;
 			this.home.startPermitted(this);
@@ -251,7 +260,7 @@
 		/** In the home's queue. */
 		WAITING,
 
-		/** Has got a slot; the entry node is asked whether the call may start. */
+		/** Has got a slot, and waits for permission to start or for its start. */
 		CLAIMED,
 
 		/** May be sent to the target; its connection may not be open yet. */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -1,14 +1,11 @@
 package org.eelgrasspitch.proxy;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.eelgrasspitch.mesh.NestedCallRates;
-import org.eelgrasspitch.mesh.ServiceTimes;
 import org.eelgrasspitch.mesh.StartPacer;
 import org.eelgrasspitch.mesh.StopSequence;
 import org.eelgrasspitch.mesh.TargetDirectory;
@@ -51,11 +48,6 @@
 	/** Interval of the check for running calls that are overdue. */
 	private static final long OVERDUE_CHECK_INTERVAL_MILLIS = 500;
 
-	/** Weight of a new outcome in the moving average of failures. */
-	private static final double FAILURE_SMOOTHING_FACTOR = 0.08;
-
-	private static final int PERCENT = 100;
-
 	private final ProxyContext context;
 
 	private final TargetQueue<HomeCall> queue;
@@ -64,7 +56,7 @@
 
 	private final QuarantineKeeper quarantine;
 
-	private final ServiceTimes serviceTimes = new ServiceTimes();
+	private final TargetOutcomes outcomes = new TargetOutcomes();
 
 	/** Directory entry of the target; null until one is published. */
 	private TargetEntry targetEntry;
@@ -85,11 +77,8 @@
 	/** Whether this node is about to close, so that no call may start any more. */
 	private boolean closing;
 
-	/** Moving average of the share of failed calls, 0 to 1, since the target's start. */
-	private double failureShare;
-
 	/** Calls not ended that were sent to the target or wait for a connection to it. */
-	private final Set<HomeCall> running = new HashSet<>();
+	private final RunningCalls running = new RunningCalls();
 
 	private boolean queueCheckScheduled;
 
@@ -148,7 +137,7 @@
 	}
 
 	private void targetReplaced() {
-		this.failureShare = 0;
+		this.outcomes.targetReplaced();
 		this.actualTarget = "";
 		this.connector.closeIdle();
 		if (this.targetEntry != null) {
@@ -175,28 +164,12 @@
 
 	TargetLoad load() {
 		return new TargetLoad(state(), this.queue.running(), this.queue.waiting(), this.slots,
-				(int) this.queue.waitMillis(this.slots, now()), (int) this.serviceTimes.overallMillis(),
-				(int) (this.failureShare * PERCENT), this.condition.limitPerSecond());
-	}
-
-	/**
-	 * Returns whether the target runs a request.
-	 * @param requestId identifier of the request
-	 * @return true from its start to its end
-	 */
-	boolean isRunning(String requestId) {
-		return this.running.stream().anyMatch((call) -> call.head().requestId().equals(requestId));
+				(int) this.queue.waitMillis(this.slots, now()), this.outcomes.serviceMillis(),
+				this.outcomes.failurePercent(), this.condition.limitPerSecond());
 	}
 
-	/**
-	 * Returns whether the target runs a request that is marked as a retry; see
-	 * {@link CallHead#retry()}.
-	 * @param requestId identifier of the request
-	 * @return true from its start to its end
-	 */
-	boolean isRunningRetry(String requestId) {
-		return this.running.stream()
-			.anyMatch((call) -> call.head().retry() && call.head().requestId().equals(requestId));
+	RunningCalls runningCalls() {
+		return this.running;
 	}
 
 	int callsInProgress() {
@@ -208,7 +181,7 @@
 	 */
 	void close() {
 		this.connector.close();
-		this.running.forEach((call) -> call.log().cut(now() - call.claimedAtMillis()));
+		this.running.logCut(now());
 	}
 
 	/**
@@ -263,7 +236,7 @@
 			return call;
 		}
 		applyDecision(this.queue.offer(new Job<>(call, head.rank(), head.objectiveAtMillis(), head.deadlineAtMillis(),
-				this.serviceTimes.expectedMillis(head.route(), now())), this.slots, now()));
+				this.outcomes.expectedMillis(head.route(), now())), this.slots, now()));
 		this.queue.position(call, this.slots, now())
 			.ifPresent((position) -> call.log().queued(position, load(), now()));
 		return call;
@@ -329,10 +302,7 @@
 		long serviceMillis = this.context.now() - call.claimedAtMillis();
 		this.context.metrics().recordTargetTime(serviceMillis);
 		this.context.metrics().callEnded(succeeded ? Outcome.ANSWERED : Outcome.FAILED);
-		if (succeeded) {
-			this.serviceTimes.observe(call.head().route(), serviceMillis, this.context.now());
-		}
-		this.failureShare += FAILURE_SMOOTHING_FACTOR * ((succeeded ? 0 : 1) - this.failureShare);
+		this.outcomes.record(call.head().route(), serviceMillis, succeeded, now());
 		removeRunning(call);
 	}
 
@@ -411,12 +381,9 @@
 	 * Fails the calls that the target will never respond to and releases their slots.
 	 */
 	private void failOverdue() {
-		long overdueBefore = now() - OVERDUE_GRACE_MILLIS;
-		for (HomeCall call : List.copyOf(this.running)) {
-			if (call.head().deadlineAtMillis() < overdueBefore && call.connection() != null) {
-				call.connection().abort();
-				failed(call, FailureReason.TARGET_SILENT, true);
-			}
+		for (HomeCall call : this.running.due(now() - OVERDUE_GRACE_MILLIS)) {
+			call.connection().abort();
+			failed(call, FailureReason.TARGET_SILENT, true);
 		}
 	}
 
@@ -456,9 +423,15 @@
 			releaseSlot();
 			return;
 		}
-		if (call.claim(now())) {
-			startPermitted(call);
-		}
+		call.claim(now());
+	}
+
+	/**
+	 * Runs an action once all messages that have been received so far are handled.
+	 * @param action the action
+	 */
+	void afterReceived(Runnable action) {
+		this.context.loop().execute(action);
 	}
 
 	/**
@@ -466,8 +439,9 @@
 	 * @param call the call
 	 */
 	void startPermitted(HomeCall call) {
-		if (this.closing) {
-			refuse(call, FailureReason.LEAVING, UNAVAILABLE_RETRY_AFTER_MILLIS);
+		Optional<FailureReason> obstacle = startObstacle(call);
+		if (obstacle.isPresent()) {
+			refuse(call, obstacle.get(), UNAVAILABLE_RETRY_AFTER_MILLIS);
 			releaseSlot();
 			return;
 		}
@@ -477,18 +451,26 @@
 		this.connector.obtain(call.head().idempotent(), (connection) -> connected(call, connection.orElse(null)));
 	}
 
+	/**
+	 * Returns why a call that has got a slot must not be sent to the target any more.
+	 */
+	private Optional<FailureReason> startObstacle(HomeCall call) {
+		if (this.closing || this.condition.isDrained()) {
+			return Optional.of(FailureReason.LEAVING);
+		}
+		boolean late = now() >= call.head().deadlineAtMillis();
+		return late ? Optional.of(FailureReason.OVERLOADED) : Optional.empty();
+	}
+
 	private void connected(HomeCall call, TargetConnection connection) {
-		if (connection == null || this.closing) {
-			if (!call.isEnded()) {
-				FailureReason reason = this.closing ? FailureReason.LEAVING : FailureReason.TARGET_DOWN;
-				refuse(call, reason, UNAVAILABLE_RETRY_AFTER_MILLIS);
-			}
-			removeRunning(call);
-			return;
+		Optional<FailureReason> obstacle = startObstacle(call)
+			.or(() -> (connection != null) ? Optional.empty() : Optional.of(FailureReason.TARGET_DOWN));
+		if (obstacle.isPresent() && !call.isEnded()) {
+			refuse(call, obstacle.get(), UNAVAILABLE_RETRY_AFTER_MILLIS);
 		}
 		if (call.isEnded() || call.isAbandoned()) {
 			call.end();
-			connection.release();
+			Optional.ofNullable(connection).ifPresent(TargetConnection::release);
 			removeRunning(call);
 			return;
 		}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestIds.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestIds.java
@@ -7,7 +7,7 @@
  * while it runs a request, consists of the identifier of that request, a separator and a
  * part chosen by the target. The identifier alone does not prove that a request is a
  * nested call, so admission and retry budgets do not rely on it:
- * {@link HomeService#isRunning(String)} and {@link HomeService#isRunningRetry(String)}
+ * {@link RunningCalls#contains(String)} and {@link RunningCalls#containsRetry(String)}
  * check that the parent is running. Only log sampling uses {@link #root(String)} without
  * this check.
  */
