Report the time that messages wait at a home as a part of its wait

Callers saw: late answers and 504 while targets were replaced; nodes that were not ready.

Cause: entry nodes place requests by the queue and the slots that a home reports. The queue of a home that is short of processor time is empty, since its requests wait in its sockets.

Change: HandlingDelay estimates this wait from how late a periodic task of the event loop runs, and the load that is reported to other nodes contains it. An entry node does not count it for the target of its own VM, because its requests wait there wherever they go.

With the former load the same requests go to the home that is behind, since its slots are free.

--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetLoad.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetLoad.java
@@ -11,7 +11,8 @@
  * @param running number of requests running at the target
  * @param waiting number of requests waiting at the home
  * @param slots maximum number of requests that the target runs concurrently
- * @param waitMillis expected wait of one more request behind all others, in milliseconds
+ * @param waitMillis expected wait of one more request behind all others, in milliseconds;
+ * as reported to other nodes it includes the {@link HandlingDelay} of the home
  * @param serviceMillis moving average of the service time at the target, in milliseconds;
  * 0 before the first observation
  * @param failurePercent moving average of the share of requests that the target failed,
@@ -36,6 +37,16 @@
 		return this.limitPerSecond < TargetStatements.NO_LIMIT;
 	}
 
+	/**
+	 * Returns the load as it affects requests that wait until their home handles them.
+	 * @param millis time that a message to the home waits, in milliseconds
+	 * @return this load with a wait that is longer by that time
+	 */
+	public TargetLoad delayedBy(double millis) {
+		return new TargetLoad(this.state, this.running, this.waiting, this.slots, this.waitMillis + (int) millis,
+				this.serviceMillis, this.failurePercent, this.limitPerSecond);
+	}
+
 	/**
 	 * Whether a target accepts requests.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import org.eelgrasspitch.mesh.HandlingDelay;
 import org.eelgrasspitch.mesh.NestedCallRates;
 import org.eelgrasspitch.mesh.StartPacer;
 import org.eelgrasspitch.mesh.StopSequence;
@@ -82,6 +83,8 @@
 
 	private boolean queueCheckScheduled;
 
+	private final HandlingDelay handlingDelay = new HandlingDelay();
+
 	private Runnable stateListener = () -> {
 	};
 
@@ -168,6 +171,18 @@
 				this.outcomes.failurePercent(), this.condition.limitPerSecond());
 	}
 
+	/**
+	 * Returns the load that is reported to other nodes.
+	 * @return the load, with the time that a message to this node waits
+	 */
+	TargetLoad reportedLoad() {
+		return load().delayedBy(this.handlingDelay.currentMillis(now()));
+	}
+
+	HandlingDelay handlingDelay() {
+		return this.handlingDelay;
+	}
+
 	RunningCalls runningCalls() {
 		return this.running;
 	}
@@ -293,7 +308,7 @@
 		call.log()
 			.failed(reason, mayHaveRun, call.claimedAtMillis() - call.receivedAtMillis(),
 					now() - call.claimedAtMillis());
-		call.failed(new CallFailure(reason, true, mayHaveRun, 0, load()));
+		call.failed(new CallFailure(reason, true, mayHaveRun, 0, reportedLoad()));
 		// That another target has the address says nothing about the health of this one.
 		recordOutcome(call, reason == FailureReason.WRONG_TARGET);
 	}
@@ -414,7 +429,7 @@
 	private void refuse(HomeCall call, FailureReason reason, int retryAfterMillis) {
 		this.context.metrics().callEnded(Outcome.REFUSED);
 		call.log().refused(reason, load(), retryAfterMillis, now());
-		call.failed(CallFailure.notSent(reason, retryAfterMillis, load()));
+		call.failed(CallFailure.notSent(reason, retryAfterMillis, reportedLoad()));
 	}
 
 	private void start(HomeCall call) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -405,7 +405,7 @@
 	private EncodedMessage heartbeat() {
 		List<SourcePosition> changes = this.state.lastChanges();
 		return EncodedMessage.of(LinkMessage.beat(new LinkBeat(changes.stream().map(SourcePosition::revision).toList(),
-				LinkFrames.toWire(this.home.load()))
+				LinkFrames.toWire(this.home.reportedLoad()))
 			.setSource((byte) this.state.sourceReport().ordinal())
 			.setEras(changes.stream().map(SourcePosition::era).toList())));
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -152,8 +152,9 @@
 
 	private void detectPause() {
 		long now = this.context.now();
-		this.context.metrics()
-			.recordLoopDelay(Math.max(0, now - this.lastClockCheckAtMillis - CLOCK_CHECK_INTERVAL_MILLIS));
+		long lateMillis = Math.max(0, now - this.lastClockCheckAtMillis - CLOCK_CHECK_INTERVAL_MILLIS);
+		this.context.metrics().recordLoopDelay(lateMillis);
+		this.home.handlingDelay().record(lateMillis, now);
 		this.lastClockCheckAtMillis = now;
 		long offsetMillis = this.context.time().wallMillis() - this.context.now();
 		long pausedMillis = offsetMillis - this.clockOffsetMillis;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -321,7 +321,7 @@
 		recordStatement(response, true);
 		ReplyHead reply = new ReplyHead(status, Headers.forwarded(response.headers(), Set.of()),
 				Headers.bodyLength(response, CallHead.CHUNKED), (int) (this.home.now() - this.call.claimedAtMillis()),
-				this.home.load());
+				this.home.reportedLoad());
 		this.succeeded = !reply.isServerError();
 		this.call.replied(reply);
 	}
