Take no answer to an earlier request for that of the next one

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that a server had run. It can happen here: a caller of the node daemon got status 200 with the body of an earlier request, or "not run" for a request that the target ran.

Cause: the HTTP library reuses a connection on which bytes wait, and TargetClient did not look at the identifier that the target echoes in Request-Id.

Change: an answer that names another request counts as lost (outcome unknown), and the connection is closed, since the right one may follow. An answer without the header is taken as before.

Result: RepeatedAnswerTests, 2 of 2 failed before the change, none after. TargetClientTests and TargetAnswerEndTests pass.

--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -45,6 +45,10 @@
  * A response without a length ends with its connection. If writing the request fails, the
  * HTTP library still reads what the target has answered, and the reset that the write has
  * seen then looks like the end of the stream. Such a response counts as lost.
+ * <p>
+ * A response that names another request than this one in {@code Request-Id} is a late or
+ * repeated one to an earlier request. It counts as lost as well, and the connection is
+ * closed, because the right one may follow.
  */
 final class TargetClient implements AutoCloseable {
 
@@ -107,7 +111,7 @@
 			.header("Config-Version", Long.toString(request.revision()));
 		Call call = this.client.newCall(builder.build());
 		call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-		call.enqueue(new ResponseHandler(body, statements, callback));
+		call.enqueue(new ResponseHandler(request.requestId(), body, statements, callback));
 		return call;
 	}
 
@@ -156,11 +160,12 @@
 	/**
 	 * Converts the result of a call into an outcome.
 	 *
+	 * @param requestId identifier of the request
 	 * @param body body of the request
 	 * @param statements receives what the target states about itself
 	 * @param callback receives the outcome
 	 */
-	private record ResponseHandler(OneShotBody body, Consumer<TargetStatement> statements,
+	private record ResponseHandler(String requestId, OneShotBody body, Consumer<TargetStatement> statements,
 			Consumer<CallOutcome> callback) implements Callback {
 
 		@Override
@@ -175,6 +180,12 @@
 
 		@Override
 		public void onResponse(Call call, Response response) {
+			if (!this.requestId.equals(response.header("Request-Id", this.requestId))) {
+				response.close();
+				call.cancel();
+				this.callback.accept(new CallOutcome.Unknown(Reason.ANSWER_LOST));
+				return;
+			}
 			CallOutcome outcome;
 			this.statements
 				.accept(TargetStatement.of(response.header("Target-Limit"), isLeaving(response), !isRefusal(response)));
--- /dev/null
+++ b/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
@@ -0,0 +1,139 @@
+package org.eelgrasspitch.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.eelgrasspitch.fleet.Distribution;
+import org.eelgrasspitch.request.CallMessage;
+import org.eelgrasspitch.request.CallOutcome;
+import org.eelgrasspitch.request.Guards;
+import org.eelgrasspitch.text.RouteKey;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * A target that writes the answer to an earlier request once more on a kept connection,
+ * where the answer to the next request is expected.
+ */
+@Test(singleThreaded = true)
+public class RepeatedAnswerTests {
+
+	private static final int TIMEOUT_MILLIS = 5_000;
+
+	/** Time after the answer to the first request in which its copy arrives. */
+	private static final long COPY_MILLIS = 200;
+
+	private ServerSocket target;
+
+	private TargetClient client;
+
+	private volatile String answer;
+
+	@BeforeMethod
+	public void open() throws IOException {
+		this.target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+		Thread.ofVirtual().start(this::accept);
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+		this.client = new TargetClient(new NodeSettings("vm-1", "a", "desk", any, any, any, any,
+				(InetSocketAddress) this.target.getLocalSocketAddress(), "http://127.0.0.1:1", List.of(),
+				Distribution.values()[0], 1, 1, 1_000, 1_000, 1_000, Guards.ALL));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void close() throws IOException {
+		this.client.close();
+		this.target.close();
+	}
+
+	@DataProvider
+	public Object[][] answers() {
+		return new Object[][] {
+				{ "HTTP/1.1 503 Busy\r\nRequest-Ran: no\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok" } };
+	}
+
+	// A repeated refusal was taken for one of a request that the target had run.
+	@Test(dataProvider = "answers")
+	public void answerToAnEarlierRequestIsNotTakenForThatOfTheNext(String first) throws Exception {
+		this.answer = first;
+		send("q1");
+		TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
+		CallOutcome second = send("q2");
+		boolean lost = second instanceof CallOutcome.Unknown;
+		boolean own = second instanceof CallOutcome.Answered answered
+				&& new String(answered.body(), StandardCharsets.US_ASCII).equals("q2");
+		Assert.assertTrue(lost || own, second.toString());
+	}
+
+	private CallOutcome send(String id) throws Exception {
+		CompletableFuture<CallOutcome> outcome = new CompletableFuture<>();
+		CallMessage.Request request = new CallMessage.Request(1, id, new RouteKey("desk", "read"), TIMEOUT_MILLIS,
+				Optional.empty(), Optional.empty(), List.of(), new byte[0], 1);
+		this.client.send(request, TIMEOUT_MILLIS, (statement) -> {
+		}, outcome::complete);
+		return outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void accept() {
+		while (!this.target.isClosed()) {
+			try {
+				Socket accepted = this.target.accept();
+				Thread.ofVirtual().start(() -> serve(accepted));
+			}
+			catch (IOException ex) {
+				// The test has closed the socket.
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket accepted) {
+		try (accepted) {
+			while (true) {
+				String id = readId(accepted.getInputStream());
+				if (!id.equals("q1")) {
+					write(accepted, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + id);
+					continue;
+				}
+				write(accepted, this.answer);
+				TimeUnit.MILLISECONDS.sleep(COPY_MILLIS);
+				write(accepted, this.answer);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The client closed the connection.
+			return;
+		}
+	}
+
+	private static void write(Socket accepted, String text) throws IOException {
+		accepted.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	/** Returns the identifier of the next request. */
+	private static String readId(InputStream input) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			int next = input.read();
+			if (next < 0) {
+				throw new IOException("end of the connection");
+			}
+			head.append((char) next);
+		}
+		int start = head.indexOf("Request-Id: ") + "Request-Id: ".length();
+		return head.substring(start, head.indexOf("\r\n", start));
+	}
+
+}
