Take a refusal without an identifier for none of a request that has one

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that the server ran (REFUSED), or such a request ran at a second server (TWICE). It can happen here for refusals that do not echo the identifier, as those of requests that came without one: TargetConnection took them for the answer to the request in progress. One that echoes the identifier of the earlier request was skipped already.

Change: a refusal counts only if it echoes an identifier, or the request has none; otherwise the answer is garbled, and the request may have run.

Result: StrayBytesTests, 3 of 10 failed before the change, none after.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -31,13 +31,14 @@
  * <p>
  * Responses are checked before they are passed on. A response that echoes another
  * identifier arrived late; it is skipped, and the connection is closed after the call. A
- * response with the not-run header, or with status 421 and no signature, is a refusal.
- * Any other response must echo the identifier of the call and carry the signature header,
- * whose value is not verified; a successful one must also be unencoded. Bytes that are
- * not a valid response, or that arrive while no call is in progress, close the
- * connection. So does a target that sends more than a bounded number of responses and
- * bytes that do not belong to the call. The body of a refusal, or of a response that
- * nobody waits for, is read to its end only so that the connection can be used again.
+ * response with the not-run header, or with status 421 and no signature, is a refusal if
+ * it echoes the identifier of the call, or the call has none. Any other response must
+ * echo the identifier of the call and carry the signature header, whose value is not
+ * verified; a successful one must also be unencoded. Bytes that are not a valid response,
+ * or that arrive while no call is in progress, close the connection. So does a target
+ * that sends more than a bounded number of responses and bytes that do not belong to the
+ * call. The body of a refusal, or of a response that nobody waits for, is read to its end
+ * only so that the connection can be used again.
  * <p>
  * A response without a length ends with the connection, and only the end of the stream
  * completes it. The decoder ends such a response whenever the channel closes, also after
@@ -301,7 +302,10 @@
 		readIdleTimeout(response.headers().get("Keep-Alive"));
 		boolean signed = response.headers().contains(names.signature());
 		boolean notRun = response.headers().contains(names.notRun());
-		if (notRun || (status == MISDIRECTED_REQUEST_STATUS && !signed)) {
+		// Without the identifier a refusal may be a late copy of one of an earlier
+		// request.
+		boolean attributable = echoedId != null || this.call.head().requestId().isEmpty();
+		if (attributable && (notRun || (status == MISDIRECTED_REQUEST_STATUS && !signed))) {
 			if (status == MISDIRECTED_REQUEST_STATUS) {
 				this.home.recordActualTarget(response.headers().get(names.target(), ""));
 			}
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/StrayBytesTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/StrayBytesTests.java
@@ -73,7 +73,9 @@
 	@DataProvider
 	Object[][] strayBytes() {
 		return new Object[][] { { answer("first") }, { answer("another") },
-				{ "HTTP/1.1 408 Request Timeout\r\nId: first\r\nContent-Length: 0\r\n\r\n" } };
+				{ "HTTP/1.1 408 Request Timeout\r\nId: first\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 503 Busy\r\nId: first\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 421 Misdirected\r\nId: first\r\nContent-Length: 0\r\n\r\n" } };
 	}
 
 	@Test(dataProvider = "strayBytes")
@@ -85,9 +87,14 @@
 
 	@DataProvider
 	Object[][] unreadableBytes() {
-		return new Object[][] { { "stray\r\n\r\n" }, { "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n" } };
+		return new Object[][] { { "stray\r\n\r\n" }, { "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" },
+				{ "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n" } };
 	}
 
+	// A refusal of an earlier request must not be taken for one of a request that runs.
+
 	@Test(dataProvider = "unreadableBytes")
 	public void bytesThatCannotBeAssignedAreNotPassedOnAsTheAnswer(String bytes) throws Exception {
 		this.stray = bytes;
