Let only the leading reader send documents to its failure domain

Cause: a node reads the source from its start until a better-ranked reader has been served for a second, and for longer while it is short of processor time. Every node that reads pushed each change to all of its near peers. A release that starts many nodes multiplied each configuration by their number.

Change: a reader pushes only if no better-ranked node is served (SourceReaders.isLeading). A node that is behind pulls, as before.

Result: SourceReadersTests, two new cases; core and proxy tests of the change pass.

--- a/core/src/main/java/org/eelgrasspitch/mesh/SourceReaders.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/SourceReaders.java
@@ -25,6 +25,13 @@
  * {@link #HANDOVER_MILLIS}, so a source that answers a node now and then causes few
  * changes.
  * <p>
+ * Only a reader without a better one sends what it reads to the others
+ * ({@link #isLeading()}). A node that has just started reads until it hears of a better
+ * reader and for {@link #HANDOVER_MILLIS} more, longer while it is short of processor
+ * time. If all of these sent each configuration to their whole failure domain, a release
+ * that starts many nodes would fill their links, and requests would wait behind documents
+ * that everybody has.
+ * <p>
  * Example: the source refuses the node that ranks first. It reports this, the second
  * starts at once, the others stay followers of the second. The first one keeps trying;
  * once it is served again, the second stops.
@@ -82,6 +89,14 @@
 		return this.reading;
 	}
 
+	/**
+	 * Returns whether this node sends what it reads to the other nodes.
+	 * @return true if it reads, unless the source answers a node of a better rank
+	 */
+	public boolean isLeading() {
+		return this.reading && this.servedSinceMillis == UNSET;
+	}
+
 	/**
 	 * Decides again.
 	 * @param nearPeers peers of the same failure domain that were heard recently
--- a/core/src/test/java/org/eelgrasspitch/mesh/SourceReadersTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/SourceReadersTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
+import java.util.function.Predicate;
 
 import org.eelgrasspitch.mesh.SourceReaders.Peer;
 import org.eelgrasspitch.mesh.SourceReaders.Report;
@@ -36,6 +37,25 @@
 		Assert.assertEquals(readers().getFirst().intValue(), 18, "the node with the best link");
 	}
 
+	// Each node that had just started sent every configuration to its failure domain.
+	@Test
+	public void onlyOneOfManyNodesThatStartLeadsAsSoonAsTheyHearOfIt() {
+		start();
+		run(3 * STEP_MILLIS, (node) -> true);
+		Assert.assertTrue(readers().size() > 1, "the others still read");
+		Assert.assertEquals(leading(), List.of(18));
+		run(2_000, (node) -> true);
+		Assert.assertEquals(leading(), List.of(18));
+	}
+
+	@Test
+	public void anotherNodeLeadsSoonAfterTheSourceRefusesTheFirst() {
+		start();
+		run(2_000, (node) -> true);
+		run(500, (node) -> node != 18);
+		Assert.assertTrue(leading().contains(17), leading().toString());
+	}
+
 	@Test
 	public void anotherNodeReadsSoonAfterTheReaderIsGone() {
 		start();
@@ -125,13 +145,21 @@
 	}
 
 	private List<Integer> readers() {
-		List<Integer> readers = new ArrayList<>();
+		return select(SourceReaders::isReading);
+	}
+
+	private List<Integer> leading() {
+		return select(SourceReaders::isLeading);
+	}
+
+	private List<Integer> select(Predicate<SourceReaders> condition) {
+		List<Integer> selected = new ArrayList<>();
 		for (int index = 0; index < NODES; index++) {
-			if (this.alive[index] && this.nodes.get(index).isReading()) {
-				readers.add(index);
+			if (this.alive[index] && condition.test(this.nodes.get(index))) {
+				selected.add(index);
 			}
 		}
-		return readers;
+		return selected;
 	}
 
 	private static String name(int index) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/DocumentReplicator.java
@@ -18,7 +18,7 @@
 /**
  * Replicates published documents between peers.
  * <p>
- * A node that reads the source pushes each change to the peers of its failure domain. The
+ * The leading reader of a failure domain pushes each change to its peers there. The
  * change is computed and compressed once for all of them. A link that still has bytes to
  * send is skipped: its peer sees the newer revision in a later heartbeat and pulls all
  * changes since its own at once, so that documents that follow each other quickly do not
@@ -49,19 +49,20 @@
 	}
 
 	/**
-	 * Applies a new routing state and pushes what has changed, if this node reads the
-	 * source.
+	 * Applies a new routing state and pushes what has changed, if this node leads the
+	 * readers of its failure domain and the source answers it.
 	 * @param newState the routing state
+	 * @param leading whether this node leads; see {@link SourceRole#isLeading()}
 	 * @param nearLinks open links to peers in the same failure domain
 	 */
-	void updateState(RoutingState newState, Collection<Link> nearLinks) {
+	void updateState(RoutingState newState, boolean leading, Collection<Link> nearLinks) {
 		RoutingState previous = this.state;
 		this.state = newState;
 		for (SourceChannel channel : SourceChannel.values()) {
 			if (newState.lastDeltaAtMillis(channel) > previous.lastDeltaAtMillis(channel)) {
 				this.pulls.get(channel).deltaReceived();
 			}
-			if (newState.sourceReport() == Report.SERVED
+			if (leading && newState.sourceReport() == Report.SERVED
 					&& newState.lastChange(channel).isAfter(previous.lastChange(channel))) {
 				push(channel, previous.lastChange(channel), List.copyOf(nearLinks));
 			}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -149,8 +149,9 @@
 			// Precedes the documents, whose removals are interpreted by it.
 			sendHeartbeats(Link::isNear);
 		}
-		this.replicator.updateState(newState, usableNearLinks());
-		if (newState.sourceReport() == Report.SERVED && !newState.lastChanges().equals(previous.lastChanges())) {
+		this.replicator.updateState(newState, this.role.isLeading(), usableNearLinks());
+		if (this.role.isLeading() && newState.sourceReport() == Report.SERVED
+				&& !newState.lastChanges().equals(previous.lastChanges())) {
 			sendHeartbeats((link) -> !link.isNear());
 		}
 		updateRole();
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/SourceRole.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/SourceRole.java
@@ -33,6 +33,14 @@
 		return this.readers.isReading();
 	}
 
+	/**
+	 * Returns whether this node sends what it reads to its peers.
+	 * @return true if it reads, unless the source answers a better-ranked peer
+	 */
+	boolean isLeading() {
+		return this.readers.isLeading();
+	}
+
 	/**
 	 * Decides again.
 	 * @param nearLinks usable links to peers in the same failure domain
