--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -227,19 +227,20 @@
 	private boolean handle(Received request, Socket accepted) throws IOException, InterruptedException {
 		OutputStream output = accepted.getOutputStream();
 		String expected = request.header("x-expected-instance");
+		String idHeader = idHeader(request.header("x-request-id"));
 		if (expected != null && !expected.equals(this.id)) {
-			writeResponse(output, "421 Misdirected Request", "X-Instance-Id: " + this.id + "\r\n", "");
+			writeResponse(output, "421 Misdirected Request", idHeader + "X-Instance-Id: " + this.id + "\r\n", "");
 			return true;
 		}
 		String behaviour = request.path().substring(request.path().lastIndexOf('/') + 1);
 		if (behaviour.startsWith("refuse")) {
-			writeResponse(output, "503 Service Unavailable", "X-Not-Executed: 1\r\n" + this.statements, "");
+			writeResponse(output, "503 Service Unavailable", idHeader + "X-Not-Executed: 1\r\n" + this.statements, "");
 			return true;
 		}
 		this.maxRunning.accumulateAndGet(this.running.incrementAndGet(), Math::max);
 		try {
 			if (behaviour.startsWith(ENDLESS_PREFIX)) {
-				writeEndlessly(output, EndlessResponse.of(behaviour.substring(ENDLESS_PREFIX.length()),
+				writeEndlessly(output, EndlessResponse.of(behaviour.substring(ENDLESS_PREFIX.length()), idHeader,
 						responseHeaders(request.header("x-request-id")), responseHeaders("another")));
 			}
 			return respond(request, accepted, output, behaviour);
@@ -258,8 +259,7 @@
 		}
 		switch (behaviour) {
 			case "fail" -> writeResponse(output, "500 Internal Server Error", ownHeaders, body);
-			case "unsigned" ->
-				writeResponse(output, "200 OK", "X-Request-Id: " + request.header("x-request-id") + "\r\n", body);
+			case "unsigned" -> writeResponse(output, "200 OK", idHeader(request.header("x-request-id")), body);
 			case "encoded" -> writeResponse(output, "200 OK", ownHeaders + "Content-Encoding: gzip\r\n", body);
 			case "foreign" -> {
 				writeResponse(output, "200 OK", responseHeaders("another"), "not yours");
@@ -364,8 +364,12 @@
 		}
 	}
 
+	private static String idHeader(String requestId) {
+		return "X-Request-Id: " + requestId + "\r\n";
+	}
+
 	private String responseHeaders(String requestId) {
-		return "X-Request-Id: " + requestId + "\r\nX-Response-Signature: signed\r\n" + this.statements;
+		return idHeader(requestId) + "X-Response-Signature: signed\r\n" + this.statements;
 	}
 
 	private static void writeResponse(OutputStream output, String status, String headers, String body)
