--- a/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/TargetQueue.java
@@ -105,8 +105,8 @@
 	 * @return requests to start and requests that are refused
 	 */
 	public Decision<T> offer(Job<T> job, int slots, long now) {
-		boolean endsInTime = now + job.expectedMillis() <= this.endAtMillis && now < job.deadlineAtMillis();
-		if (this.running < slots && this.waiting.isEmpty() && this.pacer.permits(now) > 0 && endsInTime) {
+		boolean inTime = now < job.deadlineAtMillis() && now + job.expectedMillis() <= this.endAtMillis;
+		if (this.running < slots && this.waiting.isEmpty() && this.pacer.permits(now) > 0 && inTime) {
 			this.running++;
 			this.pacer.recordStarts(1, now);
 			return new Decision<>(List.of(job.work()), List.of());
