Count and log answers of a target that belong to no request in progress

Change: event target_stray_answer, at most ten lines a second, and the counter stray_answers_total by whether the connection was idle or waited for another answer. Result: StrayBytesTests.answerToAnEarlierCallIsCounted; the class passes.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -63,6 +63,11 @@
 	/** The target of this VM states in an answer that it is about to stop. */
 	TARGET_STATED_LEAVING(5),
 
+	/**
+	 * The target of this VM sent an answer that belongs to no request in progress.
+	 */
+	TARGET_STRAY_ANSWER(10),
+
 	/** The source of documents does not respond. */
 	SOURCE_LOST(5),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -50,6 +50,9 @@
 
 	private final Counter startedCalls = counter("started_calls_total", "Calls that this home started at the target");
 
+	private final Counter strayAnswers = counter("stray_answers_total",
+			"Answers of the target of this VM that belong to no request in progress, by when they arrived", "when");
+
 	private final Counter targetRequests = counter("target_requests_total",
 			"Requests that the target of this VM made while it ran others");
 
@@ -125,6 +128,10 @@
 		this.calls.labelValues(EnumNames.lowerCase(outcome)).inc();
 	}
 
+	void strayAnswer(boolean duringCall) {
+		this.strayAnswers.labelValues(duringCall ? "call" : "idle").inc();
+	}
+
 	void recordTargetTime(long millis) {
 		this.targetSeconds.observe(millis / MILLIS_PER_SECOND);
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -221,6 +221,7 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
 			if (!(message instanceof HttpObject part) || part.decoderResult().isFailure() || this.call == null) {
+				recordAnswerWhileIdle(message);
 				failConnection(FailureReason.TARGET_GARBLED);
 				return;
 			}
@@ -236,6 +237,13 @@
 		}
 	}
 
+	private void recordAnswerWhileIdle(Object message) {
+		if (this.call == null && message instanceof HttpResponse response) {
+			String echoedId = response.headers().get(this.home.headerNames().requestId(), "");
+			this.connector.strayAnswer(echoedId, response.status().code(), null);
+		}
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		if (this.call != null) {
@@ -289,13 +297,13 @@
 		String echoedId = response.headers().get(names.requestId());
 		boolean otherRequest = echoedId != null && !echoedId.equals(this.call.head().requestId());
 		this.skippingResponse = otherRequest || status < FIRST_FINAL_STATUS;
-		if (this.skippingResponse) {
+		if (otherRequest) {
+			this.connector.strayAnswer(echoedId, status, this.call.head().requestId());
 			// More late responses may follow, so the connection is not reused.
-			this.reusable &= !otherRequest;
-			this.skippedResponses++;
-			if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
-				failConnection(FailureReason.TARGET_GARBLED);
-			}
+			this.reusable = false;
+		}
+		if (this.skippingResponse) {
+			countSkippedResponse();
 			return;
 		}
 		this.reusable &= HttpUtil.isKeepAlive(response);
@@ -330,6 +338,13 @@
 		this.call.replied(reply);
 	}
 
+	private void countSkippedResponse() {
+		this.skippedResponses++;
+		if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			failConnection(FailureReason.TARGET_GARBLED);
+		}
+	}
+
 	private void recordStatement(HttpResponse response, boolean served) {
 		StatementReader reader = new StatementReader(this.home.headerNames());
 		this.home.condition().record(reader.read(response.headers()::get, served), this.call.claimedAtMillis());
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -115,6 +115,20 @@
 		this.idleConnections.remove(connection);
 	}
 
+	/**
+	 * Records an answer that belongs to no request in progress.
+	 * @param answered identifier that the answer echoes; empty if it echoes none
+	 * @param status status of the answer
+	 * @param running identifier of the request for whose answer the connection waits;
+	 * null if it is idle
+	 */
+	void strayAnswer(String answered, int status, String running) {
+		this.context.metrics().strayAnswer(running != null);
+		this.context.log()
+			.logNodeEvent(LogEvent.TARGET_STRAY_ANSWER, "address", this.context.settings().targetAddress(), "answers",
+					answered, "status", status, "request", (running != null) ? running : "");
+	}
+
 	/**
 	 * Handles a connection that the target closed during a call. The home is told how the
 	 * call ended when it is known whether the target has crashed.
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/StrayBytesTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/StrayBytesTests.java
@@ -47,6 +47,8 @@
 
 	private TimeSource time;
 
+	private ProxyMetrics metrics;
+
 	private volatile String stray;
 
 	@BeforeMethod
@@ -59,8 +61,9 @@
 				ProxySettings.DEFAULT_SETTLE_MILLIS, LogDetail.OFF, 1);
 		this.group = new NioEventLoopGroup(1);
 		this.time = TimeSource.system();
+		this.metrics = new ProxyMetrics();
 		ProxyContext context = new ProxyContext(settings, NAMES, (EventLoop) this.group.next(), this.time,
-				new SplittableRandom(1), new DecisionLog("vm-1", this.time, LogDetail.OFF, 1), new ProxyMetrics());
+				new SplittableRandom(1), new DecisionLog("vm-1", this.time, LogDetail.OFF, 1), this.metrics);
 		this.home = new HomeService(context, new QuarantineKeeper(context));
 	}
 
@@ -85,6 +88,15 @@
 		Assert.assertEquals(call("second"), COMPLETE);
 	}
 
+	@Test
+	public void answerToAnEarlierCallIsCounted() throws Exception {
+		this.stray = answer("first");
+		call("first");
+		call("second");
+		String exposition = new String(this.metrics.exposition(), StandardCharsets.UTF_8);
+		Assert.assertTrue(exposition.contains("stray_answers_total{when=\"call\"} 1.0"), exposition);
+	}
+
 	@DataProvider
 	Object[][] unreadableBytes() {
 		return new Object[][] { { "stray\r\n\r\n" }, { "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n" },
