Carry each request identifier once on a connection to the target

Shown here for a request that comes a second time with the same identifier: its caller got status 200, the late second copy of the answer to the first run, while the target answered this run with status 500. Cause: an answer was assigned by the identifier that it echoes, which names the request but not the run. The same held for a late refusal ("not run" for a request that the target runs) and for what a late answer states of the target. Another connection is used otherwise.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -463,7 +463,7 @@
 		this.running.add(call);
 		this.nestedCallRates.recordRun();
 		this.context.metrics().callStarted(now() - call.receivedAtMillis());
-		this.connector.obtain(call.head().idempotent(), (connection) -> connected(call, connection.orElse(null)));
+		this.connector.obtain(call.head(), (connection) -> connected(call, connection.orElse(null)));
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -25,9 +25,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.eelgrasspitch.request.ConnectionHistory;
 
 /**
- * An HTTP connection to the target on this VM. It carries one call at a time.
+ * An HTTP connection to the target on this VM. It carries one call at a time, and each
+ * request identifier at most once, see {@link ConnectionHistory}.
  * <p>
  * Responses are checked before they are passed on. A response that echoes another
  * identifier arrived late; it is skipped, and the connection is closed after the call. A
@@ -97,6 +99,8 @@
 
 	private Channel channel;
 
+	private final ConnectionHistory history = new ConnectionHistory();
+
 	/** The call in progress; null while idle. */
 	private HomeCall call;
 
@@ -166,6 +170,16 @@
 		return now - this.idleSinceMillis;
 	}
 
+	/**
+	 * Returns whether the answer to a request could not be taken for another one that
+	 * this connection has carried.
+	 * @param requestId identifier of the request
+	 * @return false if another connection must be used
+	 */
+	boolean mayCarry(String requestId) {
+		return this.history.mayCarry(requestId);
+	}
+
 	boolean isWritable() {
 		return this.channel.isWritable();
 	}
@@ -176,6 +190,8 @@
 	 */
 	void send(HomeCall sent) {
 		this.call = sent;
+		this.history.add(sent.head().requestId());
+		this.reusable &= !this.history.isFull();
 		this.bodyEnded = false;
 		this.responseStarted = false;
 		this.refusal = null;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -74,11 +74,11 @@
 
 	/**
 	 * Supplies a connection for a call, an idle one or a new one.
-	 * @param idempotent whether the call is idempotent
+	 * @param head the call
 	 * @param done receives the connection; empty if the target is down
 	 */
-	void obtain(boolean idempotent, Consumer<Optional<TargetConnection>> done) {
-		TargetConnection idle = this.idleConnections.take(idempotent, this.context.now());
+	void obtain(CallHead head, Consumer<Optional<TargetConnection>> done) {
+		TargetConnection idle = this.idleConnections.take(head.requestId(), head.idempotent(), this.context.now());
 		if (idle != null) {
 			done.accept(Optional.of(idle));
 			return;
