Keep the answers of different runs apart in the node daemon

A request that comes a second time with the same identifier got the late copy of the answer to its first run (status 200 for 500, "not run" for a request that the target runs). Besides, an answer without Request-Id was taken for that of whichever request waited, and an answer to a request for the reply to a health query. Cause: the HTTP library chooses the connection, and an answer was assigned by the identifier alone. Change: before a request is written, KeptConnections looks at what the chosen connection has carried and lets the library choose again. An answer without the identifier counts only on a connection without an earlier request, which is not used again; a health query has a connection of its own. The target stand-in echoes the identifier, as docs/OPERATORS.md asks of targets.

--- a/core/src/main/java/org/eelgrasspitch/request/ConnectionHistory.java
+++ b/core/src/main/java/org/eelgrasspitch/request/ConnectionHistory.java
@@ -35,6 +35,8 @@
 
 	private int requests;
 
+	private boolean retired;
+
 	/**
 	 * Returns whether the connection may carry a request.
 	 * @param requestId identifier of the request; empty if it has none
@@ -50,7 +52,23 @@
 	 * @return true if it must be closed after the request in progress
 	 */
 	public boolean isFull() {
-		return this.requests >= MAX_REQUESTS;
+		return this.retired || this.requests >= MAX_REQUESTS;
+	}
+
+	/**
+	 * Returns whether the connection has carried no request yet.
+	 * @return true if any answer on it is that of the next request
+	 */
+	public boolean isEmpty() {
+		return this.requests == 0;
+	}
+
+	/**
+	 * Lets the connection carry no further request, because later answers could not be
+	 * assigned.
+	 */
+	public void retire() {
+		this.retired = true;
 	}
 
 	/**
--- a/core/src/test/java/org/eelgrasspitch/request/ConnectionHistoryTests.java
+++ b/core/src/test/java/org/eelgrasspitch/request/ConnectionHistoryTests.java
@@ -28,6 +28,17 @@
 		Assert.assertFalse(history.mayCarry(""));
 	}
 
+	@Test
+	public void retiredConnectionCarriesNothing() {
+		ConnectionHistory history = new ConnectionHistory();
+		Assert.assertTrue(history.isEmpty());
+		history.add("a");
+		Assert.assertFalse(history.isEmpty());
+		history.retire();
+		Assert.assertTrue(history.isFull());
+		Assert.assertFalse(history.mayCarry("b"));
+	}
+
 	@Test
 	public void carriesAtMostTheMaximumNumberOfRequests() {
 		ConnectionHistory history = new ConnectionHistory();
--- /dev/null
+++ b/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
@@ -0,0 +1,109 @@
+package org.eelgrasspitch.node;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.WeakHashMap;
+
+import okhttp3.Connection;
+import okhttp3.Interceptor;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.eelgrasspitch.request.ConnectionHistory;
+
+/**
+ * Lets the HTTP library use a kept connection to the target only for a request whose
+ * answer could not be taken for that of an earlier one.
+ * <p>
+ * The library chooses the connection. Before anything of the request is written,
+ * {@link #check} looks at the {@link ConnectionHistory} of the chosen one; if it must not
+ * carry the request, the connection is closed and {@link #choose} has the library choose
+ * again. So a request is still sent at most once.
+ * <p>
+ * Only {@code Request-Id} in an answer assigns it. An answer without it counts on a
+ * connection that has carried no other request, and that connection is not used again. A
+ * request without an identifier, such as a health query, has a connection of its own.
+ * Thread-safe.
+ */
+final class KeptConnections {
+
+	/** Header by which a target names the request that it answers. */
+	static final String REQUEST_ID_HEADER = "Request-Id";
+
+	private final int maxIdleConnections;
+
+	/** Histories of the open connections; guarded by its own monitor. */
+	private final Map<Connection, ConnectionHistory> histories = new WeakHashMap<>();
+
+	/**
+	 * Creates an empty instance.
+	 * @param maxIdleConnections maximum number of idle connections that the library keeps
+	 */
+	KeptConnections(int maxIdleConnections) {
+		this.maxIdleConnections = maxIdleConnections;
+	}
+
+	/**
+	 * Adds the checks to a client.
+	 * @param builder builder of the client
+	 * @return the builder
+	 */
+	OkHttpClient.Builder addTo(OkHttpClient.Builder builder) {
+		return builder.addInterceptor(this::choose).addNetworkInterceptor(this::check);
+	}
+
+	private Response choose(Interceptor.Chain chain) throws IOException {
+		for (int refused = 0; refused < this.maxIdleConnections; refused++) {
+			try {
+				return chain.proceed(chain.request());
+			}
+			catch (UnusableConnectionException ex) {
+				// Nothing was written; the library has closed the connection.
+			}
+		}
+		return chain.proceed(chain.request());
+	}
+
+	private Response check(Interceptor.Chain chain) throws IOException {
+		Request request = chain.request();
+		String id = request.header(REQUEST_ID_HEADER);
+		boolean first;
+		boolean last;
+		synchronized (this.histories) {
+			ConnectionHistory history = this.histories.computeIfAbsent(chain.connection(),
+					(opened) -> new ConnectionHistory());
+			first = history.isEmpty();
+			if (!first && (id == null || !history.mayCarry(id))) {
+				throw new UnusableConnectionException();
+			}
+			history.add((id != null) ? id : "");
+			last = id == null || history.isFull();
+		}
+		Response response = chain.proceed(last ? request.newBuilder().header("Connection", "close").build() : request);
+		if (response.header(REQUEST_ID_HEADER) != null) {
+			return response;
+		}
+		if (!first) {
+			response.close();
+			throw new IOException("the target's answer names no request; the one to " + id + " counts as lost");
+		}
+		retire(chain.connection());
+		return response;
+	}
+
+	private void retire(Connection connection) {
+		synchronized (this.histories) {
+			this.histories.get(connection).retire();
+		}
+	}
+
+	/**
+	 * The chosen connection must not carry the request, of which nothing was written.
+	 */
+	private static final class UnusableConnectionException extends IOException {
+
+		private static final long serialVersionUID = 1L;
+
+	}
+
+}
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -48,7 +48,8 @@
  * <p>
  * A response that names another request than this one in {@code Request-Id} is a late or
  * repeated one to an earlier request. It counts as lost as well, and the connection is
- * closed, because the right one may follow.
+ * closed, because the right one may follow. {@link KeptConnections} keeps responses apart
+ * that name the same request, or none.
  */
 final class TargetClient implements AutoCloseable {
 
@@ -80,7 +81,8 @@
 		Dispatcher dispatcher = new Dispatcher();
 		dispatcher.setMaxRequests(Integer.MAX_VALUE);
 		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
-		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
+		this.client = new KeptConnections(MAX_IDLE_CONNECTIONS).addTo(new OkHttpClient.Builder())
+			.dispatcher(dispatcher)
 			.connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.connectTimeout(CONNECT_TIMEOUT)
@@ -106,7 +108,7 @@
 		OneShotBody body = new OneShotBody(request.body());
 		Request.Builder builder = new Request.Builder().url(url(request.route().operation())).post(body);
 		request.headers().forEach((header) -> builder.header(header.name(), header.value()));
-		builder.header("Request-Id", request.requestId())
+		builder.header(KeptConnections.REQUEST_ID_HEADER, request.requestId())
 			.header("Request-Deadline-Millis", Long.toString(timeoutMillis))
 			.header("Config-Version", Long.toString(request.revision()));
 		Call call = this.client.newCall(builder.build());
@@ -180,7 +182,7 @@
 
 		@Override
 		public void onResponse(Call call, Response response) {
-			if (!this.requestId.equals(response.header("Request-Id", this.requestId))) {
+			if (!this.requestId.equals(response.header(KeptConnections.REQUEST_ID_HEADER, this.requestId))) {
 				response.close();
 				call.cancel();
 				this.callback.accept(new CallOutcome.Unknown(Reason.ANSWER_LOST));
--- a/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.eelgrasspitch.fleet.Distribution;
 import org.eelgrasspitch.request.CallMessage;
@@ -39,10 +40,20 @@
 
 	private TargetClient client;
 
+	private static final int OK = 200;
+
+	private static final int FAILED = 500;
+
 	private volatile String answer;
 
+	/** Answer to a second request with the identifier of the first; empty if unused. */
+	private volatile String laterAnswer = "";
+
+	private final AtomicBoolean firstAnswered = new AtomicBoolean();
+
 	@BeforeMethod
 	public void open() throws IOException {
+		this.firstAnswered.set(false);
 		this.target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
 		Thread.ofVirtual().start(this::accept);
 		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
@@ -77,6 +88,40 @@
 		Assert.assertTrue(lost || own, second.toString());
 	}
 
+	// The second copy of an answer was taken for that of a later run with the same
+	// identifier.
+	@Test(dataProvider = "answers")
+	public void answerToAnEarlierRunIsNotTakenForThatOfALaterOne(String first) throws Exception {
+		this.answer = first;
+		this.laterAnswer = "HTTP/1.1 500 Error\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n";
+		send("q1");
+		Assert.assertEquals(status(send("q1")), FAILED);
+	}
+
+	// An answer that names no request was taken for that of whichever request ran.
+	@Test
+	public void answerThatNamesNoRequestIsNotTakenForThatOfTheNext() throws Exception {
+		this.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+		Assert.assertEquals(status(send("q1")), OK);
+		CallOutcome second = send("q2");
+		Assert.assertTrue(second instanceof CallOutcome.Answered answered
+				&& new String(answered.body(), StandardCharsets.US_ASCII).equals("q2"), second.toString());
+	}
+
+	// An answer to a request was taken for that to a health query.
+	@Test
+	public void answerToARequestIsNotTakenForTheStateOfTheTarget() throws Exception {
+		this.answer = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 8\r\n\r\ndraining";
+		send("q1");
+		CompletableFuture<Boolean> draining = new CompletableFuture<>();
+		this.client.probe(draining::complete);
+		Assert.assertFalse(draining.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	private static int status(CallOutcome outcome) {
+		return (outcome instanceof CallOutcome.Answered answered) ? answered.status() : 0;
+	}
+
 	private CallOutcome send(String id) throws Exception {
 		CompletableFuture<CallOutcome> outcome = new CompletableFuture<>();
 		CallMessage.Request request = new CallMessage.Request(1, id, new RouteKey("desk", "read"), TIMEOUT_MILLIS,
@@ -103,13 +148,23 @@
 		try (accepted) {
 			while (true) {
 				String id = readId(accepted.getInputStream());
+				if (id.isEmpty()) {
+					TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
+					write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nup");
+					continue;
+				}
 				if (!id.equals("q1")) {
+					TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
 					write(accepted, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + id);
 					continue;
 				}
+				if (this.firstAnswered.getAndSet(true)) {
+					TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
+					write(accepted, this.laterAnswer);
+					continue;
+				}
 				write(accepted, this.answer);
-				TimeUnit.MILLISECONDS.sleep(COPY_MILLIS);
-				write(accepted, this.answer);
+				repeatLater(accepted);
 			}
 		}
 		catch (IOException | InterruptedException ex) {
@@ -118,11 +173,24 @@
 		}
 	}
 
+	private void repeatLater(Socket accepted) {
+		Thread.ofVirtual().start(() -> {
+			try {
+				TimeUnit.MILLISECONDS.sleep(COPY_MILLIS);
+				write(accepted, this.answer);
+			}
+			catch (IOException | InterruptedException ex) {
+				// The client closed the connection.
+				return;
+			}
+		});
+	}
+
 	private static void write(Socket accepted, String text) throws IOException {
 		accepted.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
 	}
 
-	/** Returns the identifier of the next request. */
+	/** Returns the identifier of the next request; empty for a health query. */
 	private static String readId(InputStream input) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (!head.toString().endsWith("\r\n\r\n")) {
@@ -132,7 +200,11 @@
 			}
 			head.append((char) next);
 		}
-		int start = head.indexOf("Request-Id: ") + "Request-Id: ".length();
+		int field = head.indexOf("Request-Id: ");
+		if (field < 0) {
+			return "";
+		}
+		int start = field + "Request-Id: ".length();
 		return head.substring(start, head.indexOf("\r\n", start));
 	}
 
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/TargetStandIn.java
@@ -195,6 +195,7 @@
 	private Object run(Context context) throws Exception {
 		String id = context.header("Request-Id").value("");
 		this.received.incrementAndGet();
+		context.setResponseHeader("Request-Id", id);
 		this.statements.forEach(context::setResponseHeader);
 		if (this.draining) {
 			this.receivedWhileDraining.incrementAndGet();
