Write no part of a request from within another write

What a target saw: with the memory allocator of the deployment, a request with a body of three parts of 70,000 bytes arrived with 280,000 bytes, that is 70,000 bytes that no caller sent; one with a part of 64 KiB or more was broken off, and its caller got an error. Cause: the write that makes a connection unwritable reports so from within itself. TargetConnection went on with the body on this event, and the encoder, which must not be used inside one of its own writes, sent the parts of the outer write once more. Change: the body goes on only when the connection is writable again.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -74,10 +74,8 @@
 	/** Time for which the rest of a refusal is awaited to keep the connection. */
 	private static final long REFUSAL_BODY_MILLIS = 50;
 
-	/**
-	 * Idle timeout of a target that does not announce one, in milliseconds.
-	 */
-	private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 4_000;
+	/** Idle timeout of a target that does not announce one. */
+	private static final long DEFAULT_IDLE_TIMEOUT_SECONDS = 4;
 
 	/**
 	 * A connection is no longer used when at most this time remains until the target's
@@ -85,8 +83,6 @@
 	 */
 	private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 1_000;
 
-	private static final long MILLIS_PER_SECOND = 1_000;
-
 	private static final int FIRST_FINAL_STATUS = 200;
 
 	private static final int FIRST_NON_SUCCESS_STATUS = 300;
@@ -132,7 +128,7 @@
 
 	private long idleSinceMillis;
 
-	private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
+	private long idleTimeoutMillis = TimeUnit.SECONDS.toMillis(DEFAULT_IDLE_TIMEOUT_SECONDS);
 
 	private TargetConnection(HomeService home, TargetConnector connector) {
 		this.home = home;
@@ -260,9 +256,14 @@
 		}
 	}
 
+	/**
+	 * Goes on with the request body when the connection is writable again. The event that
+	 * it is not comes from within a write, and the encoder must not be used inside one of
+	 * its own writes: it would send the parts of the outer one again.
+	 */
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		if (this.call != null) {
+		if (this.call != null && isWritable()) {
 			this.call.pump();
 		}
 	}
@@ -323,7 +324,9 @@
 			return;
 		}
 		this.reusable &= HttpUtil.isKeepAlive(response);
-		readIdleTimeout(response.headers().get("Keep-Alive"));
+		this.idleTimeoutMillis = KeepAliveHeader
+			.idleTimeoutMillis(response.headers().get("Keep-Alive"), DEFAULT_IDLE_TIMEOUT_SECONDS)
+			.orElse(this.idleTimeoutMillis);
 		boolean signed = response.headers().contains(names.signature());
 		boolean notRun = response.headers().contains(names.notRun());
 		// Without the identifier a refusal may be a late copy of one of an earlier
@@ -455,28 +458,6 @@
 		release();
 	}
 
-	private void readIdleTimeout(String keepAlive) {
-		if (keepAlive == null) {
-			return;
-		}
-		for (String part : keepAlive.split(",")) {
-			String trimmed = part.trim();
-			if (trimmed.startsWith("timeout=")) {
-				this.idleTimeoutMillis = parseSeconds(trimmed.substring("timeout=".length())) * MILLIS_PER_SECOND;
-			}
-		}
-	}
-
-	private static long parseSeconds(String text) {
-		try {
-			return Long.parseLong(text);
-		}
-		catch (NumberFormatException ex) {
-			// An invalid timeout is replaced by the default.
-			return DEFAULT_IDLE_TIMEOUT_MILLIS / MILLIS_PER_SECOND;
-		}
-	}
-
 	private void failConnection(FailureReason reason) {
 		HomeCall current = this.call;
 		this.call = null;
