Bound all bytes that the node daemon receives for a response

A target whose chunk size or chunk extension never ends fills the memory of the node daemon until the deadline, and holds a thread longer than that. Cause: the HTTP library bounds a head (256 KiB) and TargetClient a body (1 MiB), but nothing bounds what frames a chunked body. The library buffers a chunk size or an extension until its line ends. When the response is closed, it reads the digits once more, in time that grows with the square of their number. Change: BoundedSocketFactory counts what a socket receives; KeptConnections begins a new response on it before each request. Beyond 2 MiB reading fails and the connection is closed.

--- a/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
+++ b/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
@@ -79,6 +79,7 @@
 			history.add((id != null) ? id : "");
 			last = id == null || history.isFull();
 		}
+		BoundedSocketFactory.responseBegins(chain.connection().socket());
 		Response response = chain.proceed(last ? request.newBuilder().header("Connection", "close").build() : request);
 		if (response.header(REQUEST_ID_HEADER) != null) {
 			return response;
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -60,6 +60,12 @@
 	/** Maximum number of bytes of a health response that are read. */
 	private static final long MAX_HEALTH_BYTES = 65_536;
 
+	/**
+	 * Maximum number of bytes that are received for one response, with its heads and the
+	 * framing of its body.
+	 */
+	private static final long MAX_RESPONSE_BYTES = 2L * WireLimits.MAX_BODY_BYTES;
+
 	private static final int MAX_IDLE_CONNECTIONS = 100;
 
 	private static final long KEEP_ALIVE_SECONDS = 30;
@@ -83,6 +89,7 @@
 		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
 		this.client = new KeptConnections(MAX_IDLE_CONNECTIONS).addTo(new OkHttpClient.Builder())
 			.dispatcher(dispatcher)
+			.socketFactory(new BoundedSocketFactory(MAX_RESPONSE_BYTES))
 			.connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.connectTimeout(CONNECT_TIMEOUT)
--- a/node/src/test/java/org/eelgrasspitch/node/TargetClientTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/TargetClientTests.java
@@ -32,6 +32,8 @@
 
 	private static final String OK = "HTTP/1.1 200 OK\r\n";
 
+	private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
+
 	private static final int BLOCK_BYTES = 4_096;
 
 	/**
@@ -77,7 +79,11 @@
 	public Object[][] responses() {
 		return new Object[][] { { "", "no answer " }, { OK + "X-Filler: ", "y" },
 				{ "", "HTTP/1.1 100 Continue\r\n\r\n" }, { OK + "\r\n", "more " },
-				{ OK + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n" },
+				{ OK + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n" }, { OK, "X-Filler: y\r\n" },
+				{ "HTTP/1.1 100 Continue\r\nX-Filler: ", "y" }, { "HTTP/1.1 100 Continue\r\n", "X-Filler: y\r\n" },
+				{ CHUNKED + "2\r\nok\r\n0\r\nX-Filler: ", "y" }, { CHUNKED + "2\r\nok\r\n0\r\n", "X-Filler: y\r\n" },
+				{ CHUNKED + "4;x=", "y" }, { CHUNKED, "1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nm\r\n" }, { CHUNKED, "0" },
+				{ "HTTP/1.1 200 O", "K" }, { "HTTP/1.1 503 Busy\r\n", "X-Filler: y\r\n" },
 				{ "HTTP/1.1 503 Busy\r\nRequest-Ran: no\r\n\r\n", "busy " } };
 	}
 
@@ -96,10 +102,16 @@
 		awaitClosed();
 	}
 
-	@Test
-	public void healthWithoutEndIsBounded() throws Exception {
-		this.start = OK + "\r\n";
-		this.repeated = "more ";
+	@DataProvider
+	public Object[][] healthResponses() {
+		return new Object[][] { { OK + "\r\n", "more " }, { OK + "X-Filler: ", "y" }, { OK, "X-Filler: y\r\n" },
+				{ CHUNKED + "4;x=", "y" }, { "", "HTTP/1.1 100 Continue\r\n\r\n" }, { "", "no answer " } };
+	}
+
+	@Test(dataProvider = "healthResponses")
+	public void healthWithoutEndIsBounded(String first, String then) throws Exception {
+		this.start = first;
+		this.repeated = then;
 		CompletableFuture<Boolean> draining = new CompletableFuture<>();
 		this.client.probe(draining::complete);
 		Assert.assertFalse(draining.completeOnTimeout(false, MAX_MILLIS, TimeUnit.MILLISECONDS).get());
