--- a/testkit/src/main/java/org/eelgrasspitch/testkit/JavaProcess.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/JavaProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -52,9 +53,23 @@
 		}
 		command.addAll(List.of("-cp", target.resolve(CLI_JAR) + ":" + target.resolve("lib") + "/*", MAIN_CLASS));
 		command.addAll(arguments);
+		return start(name, log, command, Map.of());
+	}
+
+	/**
+	 * Starts a process with a command of its own.
+	 * @param name name of the process for {@link #toString()}
+	 * @param log file that its output and errors are appended to
+	 * @param command the program and its arguments
+	 * @param environment environment variables that are added
+	 * @return the running process
+	 * @throws UncheckedIOException if it cannot be started
+	 */
+	public static JavaProcess start(String name, Path log, List<String> command, Map<String, String> environment) {
 		try {
 			ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+			builder.environment().putAll(environment);
 			return new JavaProcess(name, builder.start());
 		}
 		catch (IOException ex) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/Documents.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/Documents.java
@@ -42,9 +42,24 @@
 	 * @return the rule as a JSON object
 	 */
 	public static String rule(String prefix, String type, int priority, String action) {
+		return rule(prefix, type, priority, action, 2);
+	}
+
+	/**
+	 * Builds a routing rule with a timeout.
+	 * @param prefix its path prefix
+	 * @param type whether requests may be retried: {@code idempotent} or
+	 * {@code non_idempotent}
+	 * @param priority its priority
+	 * @param action members of the action, as JSON without braces; they select where
+	 * requests go
+	 * @param timeoutSeconds its timeout, in seconds
+	 * @return the rule as a JSON object
+	 */
+	public static String rule(String prefix, String type, int priority, String action, double timeoutSeconds) {
 		return "{\"name\":\"rule" + prefix.replace('/', '-') + "\",\"type\":\"" + type
 				+ "\",\"target_latency_s\":0.6,\"priority\":" + priority + ",\"match\":{\"path_prefix\":\"" + prefix
-				+ "\"},\"action\":{" + action + ",\"timeout_s\":2,\"max_attempts\":2}}";
+				+ "\"},\"action\":{" + action + ",\"timeout_s\":" + timeoutSeconds + ",\"max_attempts\":2}}";
 	}
 
 	/**
