Read no two answers of a target as one

Shown with a target that writes the beginning of an answer once more and breaks it off there: "HTTP/1.1 200 O", followed by the next answer, was read as one head with the status of the copy, and with the identifier, the signature and the body of the next answer. So it passed every check. The same holds for a copy that breaks off in the value of a header before the identifier. Other cuts cost the next request its answer, up to the end of its time. Cause: bytes on an idle connection were noticed when they formed a response, not when they arrived, and the decoder takes a status line for part of a reason phrase or of a header. It ends a response to HEAD after its head, as the former codec did.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -13,13 +13,13 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -50,12 +50,6 @@
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
-	private static final int MAX_INITIAL_LINE_BYTES = 16_384;
-
-	private static final int MAX_HEADER_BYTES = 65_536;
-
-	private static final int MAX_CHUNK_BYTES = 16_384;
-
 	/**
 	 * Maximum number of interim and late responses before the response to a call. A
 	 * target in trouble may send them without end.
@@ -139,9 +133,11 @@
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(Channel created) {
+				TargetConnection connection = new TargetConnection(home, connector);
 				created.pipeline()
-					.addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false))
-					.addLast(new TargetConnection(home, connector));
+					.addLast(new HttpRequestEncoder())
+					.addLast(new TargetResponseDecoder(connection))
+					.addLast(connection);
 			}
 		};
 	}
@@ -176,6 +172,18 @@
 		return this.history.mayCarry(requestId);
 	}
 
+	boolean isIdle() {
+		return this.call == null;
+	}
+
+	/**
+	 * Returns whether a response consists of its head alone.
+	 * @return true if the request in progress asks for that
+	 */
+	boolean awaitsHeadOnly() {
+		return this.call != null && HttpMethod.HEAD.name().equals(this.call.head().method());
+	}
+
 	boolean isWritable() {
 		return this.channel.isWritable();
 	}
@@ -254,6 +262,9 @@
 			String echoedId = response.headers().get(this.home.headerNames().requestId(), "");
 			this.connector.strayAnswer(echoedId, response.status().code(), null);
 		}
+		if (message == TargetResponseDecoder.STRAY_BYTES) {
+			this.connector.strayAnswer("", 0, null);
+		}
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -118,7 +118,7 @@
 	/**
 	 * Records an answer that belongs to no request in progress.
 	 * @param answered identifier that the answer echoes; empty if it echoes none
-	 * @param status status of the answer
+	 * @param status status of the answer; 0 if it is not whole
 	 * @param running identifier of the request for whose answer the connection waits;
 	 * null if it is idle
 	 */
