Carry requests for heads on connections of their own

What callers saw: a request behind a late copy of another method's answer failed, was silent up to the end of its time, or got an answer that its target never gave: with a copy whose body holds the text of a response, a HEAD request that the target answered with 500 got status 200 out of that body. Cause: a response to HEAD has a length but no body. Change: a connection to the target carries either HEAD requests only, or none.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallHead.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.netty.handler.codec.http.HttpMethod;
+
 /**
  * A request on its way from an entry node to a home, without its body.
  *
@@ -44,6 +46,14 @@
 		return Headers.find(this.headers, name).orElse("");
 	}
 
+	/**
+	 * Returns whether the response consists of its head alone.
+	 * @return true for the method HEAD
+	 */
+	boolean asksForHeadOnly() {
+		return HttpMethod.HEAD.name().equals(this.method);
+	}
+
 	boolean hasBody() {
 		return hasBody(this.bodyLength);
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/IdleConnections.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/IdleConnections.java
@@ -38,12 +38,11 @@
 
 	/**
 	 * Takes a connection for a request and closes those that have been idle too long.
-	 * @param requestId identifier of the request
-	 * @param idempotent whether the request is idempotent
+	 * @param head the request
 	 * @param now current monotonic time in milliseconds
 	 * @return the connection; null if there is none that may be used
 	 */
-	TargetConnection take(String requestId, boolean idempotent, long now) {
+	TargetConnection take(CallHead head, long now) {
 		Iterator<TargetConnection> candidates = this.connections.iterator();
 		while (candidates.hasNext()) {
 			TargetConnection connection = candidates.next();
@@ -52,8 +51,8 @@
 				connection.abort();
 				continue;
 			}
-			boolean fresh = idempotent || connection.idleMillis(now) <= MAX_NON_IDEMPOTENT_IDLE_MILLIS;
-			if (fresh && connection.mayCarry(requestId)) {
+			boolean fresh = head.idempotent() || connection.idleMillis(now) <= MAX_NON_IDEMPOTENT_IDLE_MILLIS;
+			if (fresh && connection.mayCarry(head)) {
 				candidates.remove();
 				return connection;
 			}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -91,6 +91,13 @@
 
 	private final ConnectionHistory history = new ConnectionHistory();
 
+	/**
+	 * Whether the connection carries requests whose responses are heads alone. It then
+	 * carries no others, because a copy of an earlier response could not be read by the
+	 * rules for the request that it answers.
+	 */
+	private boolean headOnly;
+
 	/** The call in progress; null while idle. */
 	private HomeCall call;
 
@@ -164,12 +171,13 @@
 
 	/**
 	 * Returns whether the answer to a request could not be taken for another one that
-	 * this connection has carried.
-	 * @param requestId identifier of the request
+	 * this connection has carried, nor another one for it.
+	 * @param head the request
 	 * @return false if another connection must be used
 	 */
-	boolean mayCarry(String requestId) {
-		return this.history.mayCarry(requestId);
+	boolean mayCarry(CallHead head) {
+		return this.history.mayCarry(head.requestId())
+				&& (this.history.isEmpty() || this.headOnly == head.asksForHeadOnly());
 	}
 
 	boolean isIdle() {
@@ -177,11 +185,11 @@
 	}
 
 	/**
-	 * Returns whether a response consists of its head alone.
-	 * @return true if the request in progress asks for that
+	 * Returns whether all responses consist of their heads alone.
+	 * @return true if all requests of this connection ask for that
 	 */
-	boolean awaitsHeadOnly() {
-		return this.call != null && HttpMethod.HEAD.name().equals(this.call.head().method());
+	boolean isHeadOnly() {
+		return this.headOnly;
 	}
 
 	boolean isWritable() {
@@ -194,6 +202,7 @@
 	 */
 	void send(HomeCall sent) {
 		this.call = sent;
+		this.headOnly = sent.head().asksForHeadOnly();
 		this.history.add(sent.head().requestId());
 		this.reusable &= !this.history.isFull();
 		this.bodyEnded = false;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnector.java
@@ -78,7 +78,7 @@
 	 * @param done receives the connection; empty if the target is down
 	 */
 	void obtain(CallHead head, Consumer<Optional<TargetConnection>> done) {
-		TargetConnection idle = this.idleConnections.take(head.requestId(), head.idempotent(), this.context.now());
+		TargetConnection idle = this.idleConnections.take(head, this.context.now());
 		if (idle != null) {
 			done.accept(Optional.of(idle));
 			return;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetResponseDecoder.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetResponseDecoder.java
@@ -54,7 +54,7 @@
 
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage response) {
-		return this.connection.awaitsHeadOnly() || super.isContentAlwaysEmpty(response);
+		return this.connection.isHeadOnly() || super.isContentAlwaysEmpty(response);
 	}
 
 	private static void rejectJoinedHeads(Object part) {
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RepeatedTargetAnswerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RepeatedTargetAnswerTests.java
@@ -90,10 +90,50 @@
 		}
 	}
 
+	@DataProvider(parallel = true)
+	Object[][] copies() {
+		String answerInBody = head("Id: second\r\nSignature: s\r\nContent-Length: 0\r\n");
+		List<Object[]> cases = new ArrayList<>();
+		for (Moment moment : Moment.values()) {
+			for (String second : List.of("GET", "HEAD", "PUT")) {
+				cases.add(new Object[] { moment, "GET", second, answer("ok") });
+				cases.add(new Object[] { moment, "GET", second, answer(answerInBody) });
+				cases.add(new Object[] { moment, "GET", second,
+						head("Id: first\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n\r\n" });
+				cases.add(new Object[] { moment, "HEAD", second,
+						head("Id: first\r\nSignature: s\r\nContent-Length: 200\r\n") });
+				cases.add(new Object[] { moment, "PUT", second,
+						"HTTP/1.1 204 No Content\r\nId: first\r\nSignature: s\r\n\r\n" });
+				cases.add(new Object[] { moment, "GET", second,
+						"HTTP/1.1 304 Not Modified\r\nId: first\r\nSignature: s\r\nContent-Length: 200\r\n\r\n" });
+				cases.add(new Object[] { moment, "GET", second, "HTTP/1.1 100 Continue\r\n\r\n" + answer("ok") });
+			}
+		}
+		return cases.toArray(Object[][]::new);
+	}
+
+	// The decoder read a copy by the rules for the method of the request that ran.
+	@Test(dataProvider = "copies")
+	public void copyDoesNotChangeHowTheNextAnswerIsRead(Moment moment, String firstMethod, String secondMethod,
+			String answer) throws Exception {
+		try (Home home = new Home(moment, answer, answer)) {
+			home.call("first", firstMethod);
+			TimeUnit.MILLISECONDS.sleep(2 * PAUSE_MILLIS);
+			String end = home.call("second", secondMethod);
+			String expected = secondMethod.equals("HEAD") ? "500 " : ("500 " + SECOND_BODY);
+			boolean ended = moment == Moment.WITH_THE_END && end.equals(FailureReason.TARGET_BROKE_OFF.toString());
+			Assert.assertTrue(ended || end.equals(expected), end);
+		}
+	}
+
 	private static String head(String headers) {
 		return "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
 	}
 
+	private static String answer(String body) {
+		return head("Id: first\r\nSignature: s\r\nContent-Length: " + body.length() + "\r\n") + body;
+	}
+
 	/** A home with its target. */
 	private static final class Home implements AutoCloseable {
 
