Read no two answers of a target as one in the node daemon

Status 200 where the target had answered with 500, after the beginning of an earlier answer came once more. The HTTP library of the daemon also takes a line without a colon for a header, so a copy that breaks off between two headers, or in the name of one, has the same effect. Cause: the library does not look at a kept connection when bytes arrive, and reads them and the next answer as one head. Change: an answer whose status line or headers hold a status line (core.request.StatusLines) counts as lost, and its connection is not used again. Evidence: RepeatedAnswerTests.beginningOfACopyIsNotTakenForThatOfTheNextAnswer, 7 of 7 failed before (status 200 each), none after; with TargetClientTests and TargetAnswerEndTests 55 pass. StatusLinesTests, 8 pass.

--- a/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
+++ b/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
@@ -10,6 +10,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.eelgrasspitch.request.ConnectionHistory;
+import org.eelgrasspitch.request.StatusLines;
 
 /**
  * Lets the HTTP library use a kept connection to the target only for a request whose
@@ -22,7 +23,10 @@
  * <p>
  * Only {@code Request-Id} in an answer assigns it. An answer without it counts on a
  * connection that has carried no other request, and that connection is not used again. A
- * request without an identifier, such as a health query, has a connection of its own.
+ * request without an identifier, such as a health query, has a connection of its own. The
+ * library does not notice bytes that arrive between two requests, so an answer that
+ * begins in the head of another one ({@link StatusLines}) counts as lost.
+ * <p>
  * Thread-safe.
  */
 final class KeptConnections {
@@ -81,6 +85,11 @@
 		}
 		BoundedSocketFactory.responseBegins(chain.connection().socket());
 		Response response = chain.proceed(last ? request.newBuilder().header("Connection", "close").build() : request);
+		if (isJoined(response)) {
+			retire(chain.connection());
+			response.close();
+			throw new IOException("the target's answer begins in the head of another one");
+		}
 		if (response.header(REQUEST_ID_HEADER) != null) {
 			return response;
 		}
@@ -92,6 +101,13 @@
 		return response;
 	}
 
+	private static boolean isJoined(Response response) {
+		return StatusLines.isIn(response.message()) || response.headers()
+			.names()
+			.stream()
+			.anyMatch((name) -> StatusLines.isIn(name) || response.headers(name).stream().anyMatch(StatusLines::isIn));
+	}
+
 	private void retire(Connection connection) {
 		synchronized (this.histories) {
 			this.histories.get(connection).retire();
--- a/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
@@ -46,6 +46,12 @@
 
 	private volatile String answer;
 
+	/** What is written after the first answer; null for the answer. */
+	private volatile String copy;
+
+	/** Status of the answers to requests with other identifiers. */
+	private volatile String nextStatus = "200 OK";
+
 	/** Answer to a second request with the identifier of the first; empty if unused. */
 	private volatile String laterAnswer = "";
 
@@ -54,6 +60,8 @@
 	@BeforeMethod
 	public void open() throws IOException {
 		this.firstAnswered.set(false);
+		this.copy = null;
+		this.nextStatus = "200 OK";
 		this.target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
 		Thread.ofVirtual().start(this::accept);
 		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
@@ -98,6 +106,26 @@
 		Assert.assertEquals(status(send("q1")), FAILED);
 	}
 
+	@DataProvider
+	public Object[][] beginnings() {
+		return new Object[][] { { "HTTP/1.1 200 O" }, { "HTTP/1.1 200 " }, { "HTTP/1.1 200 OK\r\n" },
+				{ "HTTP/1.1 200 OK\r\nDate" }, { "HTTP/1.1 200 OK\r\nDate: Sat" }, { "HTTP/1.1 200 OK\r\nDate: Sat\r" },
+				{ "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\n" } };
+	}
+
+	// The beginning of a copy and the answer behind it were read as one head, with the
+	// status of the copy and the identifier of the answer.
+	@Test(dataProvider = "beginnings")
+	public void beginningOfACopyIsNotTakenForThatOfTheNextAnswer(String beginning) throws Exception {
+		this.answer = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok";
+		this.copy = beginning;
+		this.nextStatus = "500 Error";
+		send("q1");
+		TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
+		CallOutcome second = send("q2");
+		Assert.assertTrue(second instanceof CallOutcome.Unknown || status(second) == FAILED, second.toString());
+	}
+
 	// An answer that names no request was taken for that of whichever request ran.
 	@Test
 	public void answerThatNamesNoRequestIsNotTakenForThatOfTheNext() throws Exception {
@@ -155,7 +183,8 @@
 				}
 				if (!id.equals("q1")) {
 					TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
-					write(accepted, "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + id);
+					write(accepted, "HTTP/1.1 " + this.nextStatus + "\r\nRequest-Id: " + id
+							+ "\r\nContent-Length: 2\r\n\r\n" + id);
 					continue;
 				}
 				if (this.firstAnswered.getAndSet(true)) {
@@ -177,7 +206,7 @@
 		Thread.ofVirtual().start(() -> {
 			try {
 				TimeUnit.MILLISECONDS.sleep(COPY_MILLIS);
-				write(accepted, this.answer);
+				write(accepted, (this.copy != null) ? this.copy : this.answer);
 			}
 			catch (IOException | InterruptedException ex) {
 				// The client closed the connection.
