End a request at its deadline also while its response arrives

A caller whose target began a response and then stopped waited for 1 to 1.5 s beyond the timeout of its route, and so did the requests that it had pipelined behind that one.

Cause: the deadline did nothing once a response head had arrived. The end came from the home, which gives a target 1 s beyond the deadline and looks every 500 ms.

Now the deadline ends such a request too, 150 ms later, so that what is on its way arrives: targets stop at the deadline themselves. A response of which nothing is written gets status 504 in its place, also one that waits for an earlier response on its connection. That one was to be cut before, together with the earlier one. A response of which a part is written ends with its connection, without its last chunk or bytes.

The entry node tells the home then, which breaks off a response that has begun and counts it as a failure of the target, as it did before. A request that is not idempotent would otherwise hold its slot for the time that it held its caller.

Evidence: features/stopping-responses.feature.

The node daemon replies at its deadline whatever has arrived, so it has no such fault (EntryCall.deadlinePassed; read, not run).

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Admission.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Admission.java
@@ -13,11 +13,11 @@
  * route's timeout if the caller states none
  * @param elapsedMillis estimated time for which its caller has been trying already, in
  * milliseconds; 0 for a nested call
- * @param deadlineAtMillis monotonic time in milliseconds at which the entry node gives up
- * unless a response has started: the end of the route's timeout, or
- * {@link #RESPONSE_MARGIN_MILLIS} before the caller stops waiting if that is earlier, or
- * the end of this node if it is stopping; in the past if the caller allows less than the
- * margin
+ * @param deadlineAtMillis monotonic time in milliseconds at which the entry node gives
+ * up, or shortly afterwards if a response has begun to arrive: the end of the route's
+ * timeout, or {@link #RESPONSE_MARGIN_MILLIS} before the caller stops waiting if that is
+ * earlier, or the end of this node if it is stopping; in the past if the caller allows
+ * less than the margin
  * @param objectiveAtMillis monotonic time in milliseconds after which a response is late;
  * the route's objective counts from the caller's estimated first send
  */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -310,6 +310,20 @@
 		}
 	}
 
+	/**
+	 * Drops what has been emitted of a response if nothing of it is written yet, because
+	 * earlier responses are not complete. Another response may be emitted in its place.
+	 * @param exchange exchange of the response
+	 * @return false if a part of the response is written
+	 */
+	boolean withdraw(Exchange exchange) {
+		if (this.exchanges.peek() == exchange) {
+			return false;
+		}
+		this.queuedParts.removeIf((part) -> part.exchange() == exchange);
+		return true;
+	}
+
 	/**
 	 * Closes the connection without completing the response that is being written.
 	 */
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -25,10 +25,11 @@
  * {@link CallListener#WINDOW_BYTES}, so that the request can be retried if the response
  * is cut off; a longer response is streamed.
  * <p>
- * When no further attempt is allowed, or the deadline passes before a response head has
- * arrived, the caller gets an error response at once: status 503 with a
- * {@code Retry-After} header if the request has certainly not run, otherwise 502 or 504.
- * If a response that has already started fails, the connection is closed instead.
+ * When no further attempt is allowed, or the deadline passes, the caller gets an error
+ * response at once: status 503 with a {@code Retry-After} header if the request has
+ * certainly not run, otherwise 502 or 504. A response whose head has arrived by the
+ * deadline may still end within {@link #RESPONSE_END_MILLIS}. If a response fails of
+ * which a part is written, the connection is closed instead.
  */
 final class Exchange {
 
@@ -38,6 +39,9 @@
 	/** Maximum time that a request waits for a link to open. */
 	private static final long LINK_WAIT_MILLIS = 400;
 
+	/** Time after the deadline for what is on its way of a response that has begun. */
+	private static final long RESPONSE_END_MILLIS = 150;
+
 	private final EntryService entry;
 
 	private final CallerConnection connection;
@@ -309,7 +313,8 @@
 	}
 
 	private void expire() {
-		if (this.ended || this.attempts.hasResponseHead()) {
+		if (this.attempts.hasResponseHead()) {
+			this.deadlineTimer.start(RESPONSE_END_MILLIS, () -> endAttempts("timeout"));
 			return;
 		}
 		endAttempts("timeout");
@@ -354,10 +359,10 @@
 
 	private void fail(HttpResponseStatus status) {
 		this.outcome = Outcome.FAILED;
+		boolean cut = this.responseStarted && !this.connection.withdraw(this);
 		this.log.failed(routeName(), status, this.attempts.lastReason(), this.attempts.reachedTargetCount(),
-				ageMillis(), this.responseStarted,
-				this.entry.suspectName(this.request, this.body, this.attempts.lastReason()));
-		if (this.responseStarted) {
+				ageMillis(), cut, this.entry.suspectName(this.request, this.body, this.attempts.lastReason()));
+		if (cut) {
 			end();
 			this.connection.abort();
 			return;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -242,6 +242,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the target has begun its response and has not ended it by the
+	 * deadline. It works no longer than that, so no work is lost with its connection.
+	 * @param now current monotonic time in milliseconds
+	 * @return true if nothing more is to be expected of the target
+	 */
+	boolean hasStopped(long now) {
+		return this.connection != null && this.connection.isResponseStarted() && now >= this.head.deadlineAtMillis();
+	}
+
 	TargetConnection connection() {
 		return this.connection;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -260,13 +260,17 @@
 	/**
 	 * Handles the cancellation of a call by its entry node.
 	 * @param call the call
-	 * @param endsRunning whether the call is aborted if it was sent to the target;
-	 * otherwise the target finishes it. A call that is not sent yet is dropped.
+	 * @param endsRunning whether a call that was sent to the target is aborted; otherwise
+	 * the target finishes it, except for a response that has not ended at the deadline
 	 */
 	void cancelled(HomeCall call, boolean endsRunning) {
 		if (call.isEnded()) {
 			return;
 		}
+		if (call.hasStopped(now())) {
+			breakOff(call, FailureReason.TARGET_SILENT);
+			return;
+		}
 		this.context.metrics().callEnded(Outcome.CANCELLED);
 		call.log().cancelled(call.loggedState(), now() - call.receivedAtMillis());
 		if (call.isWaiting()) {
@@ -396,10 +400,12 @@
 	 * Fails the calls that the target will never respond to and releases their slots.
 	 */
 	private void failOverdue() {
-		for (HomeCall call : this.running.due(now() - OVERDUE_GRACE_MILLIS)) {
-			call.connection().abort();
-			failed(call, FailureReason.TARGET_SILENT, true);
-		}
+		this.running.due(now() - OVERDUE_GRACE_MILLIS).forEach((call) -> breakOff(call, FailureReason.TARGET_SILENT));
+	}
+
+	private void breakOff(HomeCall call, FailureReason reason) {
+		call.connection().abort();
+		failed(call, reason, true);
 	}
 
 	/**
@@ -407,8 +413,7 @@
 	 * @param call the call
 	 */
 	void abandonedTooLong(HomeCall call) {
-		call.connection().abort();
-		failed(call, FailureReason.TARGET_GARBLED, true);
+		breakOff(call, FailureReason.TARGET_GARBLED);
 	}
 
 	private void applyDecision(Decision<HomeCall> decision) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -216,6 +216,10 @@
 		this.channel.flush();
 	}
 
+	boolean isResponseStarted() {
+		return this.responseStarted;
+	}
+
 	void writeBody(byte[] content) {
 		this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
 	}
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/PlatformSteps.java
@@ -172,6 +172,11 @@
 		Assert.assertTrue(this.tookMillis <= millis, "took " + this.tookMillis + " ms");
 	}
 
+	@Then("the answer came after {int} ms or later")
+	public void afterMillis(int millis) {
+		Assert.assertTrue(this.tookMillis >= millis, "took " + this.tookMillis + " ms");
+	}
+
 	@Then("{int} server(s) received it, {int} time(s) in all")
 	public void received(int servers, int times) {
 		long receivers = this.world.servers().stream().filter((server) -> count(server) > 0).count();
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/mesh/ServerStandIn.java
@@ -51,6 +51,8 @@
 
 	private static final String ENDLESS_PREFIX = "endless-";
 
+	private static final String STOPS_PREFIX = "stops-";
+
 	private static final int ENDLESS_BLOCK_BYTES = 4_096;
 
 	private final ServerSocket socket;
@@ -243,6 +245,11 @@
 				writeEndlessly(output, EndlessResponse.of(behaviour.substring(ENDLESS_PREFIX.length()), idHeader,
 						responseHeaders(request.header("x-request-id")), responseHeaders("another")));
 			}
+			if (behaviour.startsWith(STOPS_PREFIX)) {
+				writeRaw(output, StoppingResponse.of(behaviour.substring(STOPS_PREFIX.length()),
+						responseHeaders(request.header("x-request-id"))));
+				return staysOpen(accepted, (int) STALL_MILLIS);
+			}
 			return respond(request, accepted, output, behaviour);
 		}
 		finally {
