--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetConnection.java
@@ -12,17 +12,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.eelgrasspitch.request.ConnectionHistory;
@@ -211,7 +206,7 @@
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
 		this.responseCreditBytes = CallListener.WINDOW_BYTES;
-		this.channel.write(createRequest(sent.head()));
+		this.channel.write(TargetRequest.of(sent.head(), this.home.headerNames(), this.home.now()));
 		sent.useConnection(this);
 		this.channel.flush();
 	}
@@ -316,22 +311,6 @@
 		failConnection(FailureReason.TARGET_BROKE_OFF);
 	}
 
-	private HttpRequest createRequest(CallHead head) {
-		HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()),
-				head.uri());
-		Headers.add(head.headers(), request.headers());
-		long remainingMillis = Math.max(1, head.deadlineAtMillis() - this.home.now());
-		request.headers().set(this.home.headerNames().remainingMillis(), remainingMillis);
-		request.headers().set(this.home.headerNames().expectedTarget(), head.target());
-		if (head.bodyLength() == CallHead.CHUNKED) {
-			request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		}
-		if (head.bodyLength() >= 0) {
-			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, head.bodyLength());
-		}
-		return request;
-	}
-
 	private void handleResponse(HttpResponse response) {
 		int status = response.status().code();
 		HeaderNames names = this.home.headerNames();
