End the connection of an answer that cannot be completed

What callers saw: a request whose body grows beyond the limit after its answer has begun (a target may answer before it has read the body) got an answer that stops midway, on a connection that stays open; the caller waits for the rest. Cause: the refusal (413) was written into the response in progress. The encoder rejects a second head, so nothing of it was sent, and the end of the refusal then counted as the end of the response. Change: a refusal of a request whose response has started ends the connection, as every other failure at that point does. Evidence: PipelinedAnswersTests.answerThatCannotBeCompletedEndsTheConnection failed before (no end within 5 s), passes now. The class also plays all sequences of three pipelined requests out of seven kinds (with a length, chunked, HEAD, slow, broken off, silent up to the timeout, without a route): 343 pass, before as after.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -352,6 +352,10 @@
 	}
 
 	private void refuse(HttpResponseStatus status, String reason) {
+		if (this.responseStarted) {
+			fail(status);
+			return;
+		}
 		this.outcome = Outcome.REFUSED;
 		this.log.refused(this.request, status, reason);
 		respond(LocalResponse.of(status, this.entry.context().names(), this.request.id()));
