Open a connection for each call to the platform in the node daemon

What operators would see: a document taken for the answer to a later call for the same document or the other one, a state "unchanged" with the revision of the other document (which counts as evidence that the held text is current), or a failed call. Cause: answers of the platform name neither their call nor their document, and both documents were read over shared kept connections. A second copy of an answer, or its beginning, was read as the answer to the next call. Change: no connection is kept. A call waits at the platform for most of its time, so the further connections are few.

--- a/node/src/main/java/org/eelgrasspitch/node/PlatformClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/PlatformClient.java
@@ -30,6 +30,10 @@
  * above {@code after}; otherwise it waits up to {@code wait} and responds with 204. Both
  * responses carry the current revision in the header {@code Revision}. No other class
  * depends on this assumption.
+ * <p>
+ * A response names neither its call nor its document. Each call therefore has a
+ * connection of its own, so that a response that arrives a second time cannot be taken
+ * for that to the next call.
  */
 final class PlatformClient implements AutoCloseable {
 
@@ -64,7 +68,8 @@
 		this.eventConsumer = eventConsumer;
 		this.client = new OkHttpClient.Builder().connectTimeout(CONNECT_TIMEOUT)
 			.dispatcher(new Dispatcher())
-			.connectionPool(new ConnectionPool(2, 1, TimeUnit.MINUTES))
+			// No connection is kept: an answer names no call.
+			.connectionPool(new ConnectionPool(0, 1, TimeUnit.MINUTES))
 			.followRedirects(false)
 			.build();
 	}
