--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -31,6 +31,9 @@
 	/** An invalid or older configuration was rejected; the held one stays in force. */
 	CONFIG_REFUSED(5),
 
+	/** A configuration could not be decoded for want of memory and is decoded later. */
+	CONFIG_DEFERRED(5),
+
 	/** A target appeared or changed. */
 	TARGET_SEEN(40),
 
@@ -68,6 +71,11 @@
 	 */
 	TARGET_STRAY_ANSWER(10),
 
+	/**
+	 * The source of documents has not answered this node, or not with what it can use.
+	 */
+	SOURCE_READ_FAILED(5),
+
 	/** The source of documents does not respond. */
 	SOURCE_LOST(5),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.vavr.control.Either;
 import org.apache.thrift.TException;
@@ -20,6 +21,8 @@
 import org.eelgrasspitch.mesh.SourceReaders.Report;
 import org.eelgrasspitch.mesh.TargetEntry;
 import org.eelgrasspitch.mesh.TargetRegistry;
+import org.eelgrasspitch.misc.ErrorType;
+import org.eelgrasspitch.misc.Position;
 import org.eelgrasspitch.misc.Problem;
 import org.eelgrasspitch.misc.TimeSource;
 import org.eelgrasspitch.proxy.generated.LinkDocument;
@@ -43,6 +46,9 @@
 	/** Minimum duration of a source outage in which target entries may expire. */
 	private static final long MIN_OUTAGE_MILLIS = 800;
 
+	/** Delay of the next attempt to decode a configuration for which memory was short. */
+	private static final long DECODE_RETRY_MILLIS = 500;
+
 	private final ScheduledExecutorService control;
 
 	private final TimeSource time;
@@ -117,6 +123,7 @@
 
 	@Override
 	public void sourceLost(String reason) {
+		this.log.logNodeEvent(LogEvent.SOURCE_READ_FAILED, "reason", reason);
 		this.ownReport = Report.UNSERVED;
 		updateAvailability(reason);
 		publish();
@@ -265,13 +272,21 @@
 	}
 
 	/**
-	 * Applies the newest pending configuration that is valid and drops the others.
+	 * Applies the newest pending configuration that is valid and drops the others. If
+	 * there is no memory to decode it, they wait a little longer.
 	 */
 	private void decodePending() {
 		long startMillis = this.time.monotonicMillis();
 		boolean valid = false;
 		while (!valid && !this.pendingConfigs.isEmpty()) {
-			valid = this.pendingConfigs.pollNewest().filter(this::applyConfig).isPresent();
+			SourceItem newest = this.pendingConfigs.pollNewest().orElseThrow();
+			try {
+				valid = applyConfig(newest);
+			}
+			catch (OutOfMemoryError ex) {
+				deferDecoding(newest, ex);
+				return;
+			}
 		}
 		this.pendingConfigs.clear();
 		long endMillis = this.time.monotonicMillis();
@@ -279,12 +294,32 @@
 		publish();
 	}
 
+	private void deferDecoding(SourceItem item, OutOfMemoryError cause) {
+		this.log.logNodeEvent(LogEvent.CONFIG_DEFERRED, "revision", item.revision(), "cause", cause);
+		this.pendingConfigs.add(this.decoder.configVersion(item).orElseThrow(), item);
+		this.control.schedule(this::decodePending, DECODE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Decodes an item. One for which the decoder throws an exception counts as invalid,
+	 * so that it does not keep later ones from being decoded.
+	 */
+	private static <T> Either<List<Problem>, T> decode(SourceItem item,
+			Function<SourceItem, Either<List<Problem>, T>> decoder) {
+		try {
+			return decoder.apply(item);
+		}
+		catch (RuntimeException ex) {
+			return Either.left(List.of(Problem.of(ErrorType.UNREADABLE, Position.UNKNOWN, item.key(), ex)));
+		}
+	}
+
 	/**
 	 * Decodes a configuration and puts it in force if it is newer.
 	 * @return false if it is invalid
 	 */
 	private boolean applyConfig(SourceItem item) {
-		Either<List<Problem>, MeshConfig> decoded = this.decoder.config(item);
+		Either<List<Problem>, MeshConfig> decoded = decode(item, this.decoder::config);
 		if (decoded.isLeft()) {
 			this.log.logNodeEvent(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "problems",
 					decoded.getLeft().size(), "first", decoded.getLeft().getFirst());
@@ -316,7 +351,7 @@
 	}
 
 	private void applyTarget(SourceItem item, SourcePosition writtenAt, long now) {
-		Either<List<Problem>, TargetEntry> decoded = this.decoder.target(item);
+		Either<List<Problem>, TargetEntry> decoded = decode(item, this.decoder::target);
 		if (decoded.isLeft()) {
 			this.log.logNodeEvent(LogEvent.TARGET_IGNORED, "target", item.key(), "revision", item.revision(), "first",
 					decoded.getLeft().getFirst());
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RoutingStateKeeperTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -28,7 +29,8 @@
 
 /**
  * Configurations that arrive while an earlier one waits to be decoded. The content of an
- * item is its version, followed by "!" if the rest of it is invalid.
+ * item is its version, followed by "!" if the rest of it is invalid, by "#" if the
+ * decoder throws an exception and by "$" if memory is short when it is first decoded.
  */
 public class RoutingStateKeeperTests {
 
@@ -36,6 +38,8 @@
 
 	private static final long HOLD_UP_MILLIS = 5;
 
+	private static final long POLL_MILLIS = 20;
+
 	private final DefaultEventLoop control = new DefaultEventLoop();
 
 	private final List<String> decoded = new ArrayList<>();
@@ -79,6 +83,24 @@
 		Assert.assertEquals(this.decoded, List.of("7"));
 	}
 
+	// review/4: an exception left what waited undecoded, and all later versions with it.
+	@Test
+	public void exceptionOfTheDecoderKeepsNoOtherConfigurationFromBeingApplied() throws Exception {
+		receive("5", "6", "7#");
+		Assert.assertEquals(this.state.config().version(), 6);
+	}
+
+	// review/4: so did a want of memory.
+	@Test
+	public void configurationIsAppliedLaterIfMemoryIsShort() throws Exception {
+		receive("5", "6$");
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+		while (this.state.config() == null && System.nanoTime() < deadline) {
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		Assert.assertEquals(this.state.config().version(), 6);
+	}
+
 	private void receive(String... contents) throws Exception {
 		receiveHeldUp(0, contents);
 	}
@@ -127,14 +149,21 @@
 
 		@Override
 		public OptionalLong configVersion(SourceItem item) {
-			String text = text(item).replace("!", "");
+			String text = text(item).replaceAll("[!#$]", "");
 			return text.matches("[0-9]+") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
 		}
 
 		@Override
 		public Either<List<Problem>, MeshConfig> config(SourceItem item) {
 			RoutingStateKeeperTests.this.decoded.add(text(item));
-			if (!text(item).matches("[0-9]+")) {
+			if (text(item).endsWith("#")) {
+				throw new IllegalStateException("fault of the decoder");
+			}
+			boolean first = Collections.frequency(RoutingStateKeeperTests.this.decoded, text(item)) == 1;
+			if (text(item).endsWith("$") && first) {
+				throw new OutOfMemoryError("fault of the test");
+			}
+			if (!text(item).matches("[0-9]+[$]?")) {
 				return Either.left(List.of(Problem.of(ErrorType.WRONG_TYPE, Position.UNKNOWN, "version", "a number")));
 			}
 			return Either.right(new MeshConfig(configVersion(item).getAsLong(), CallerLimits.DEFAULT,
