Log when a configuration is received, and the version of a refusal

A refusal with status 404 did not name the version that decided it, though this is the form of rule CONFIG that an operator looks for.

Now config_received says when a version has arrived and from whom (a peer, or the store), config_applied how long its decoding took, and request_refused names the version in force and the time since the node last heard of its document. request_placed names the version in force when a target is chosen, so that a retry after a change can be told. The time of the confirmation is not in the store's answers; the operators' log has it.

Evidence: DecisionLogTests.refusalNamesTheVersionThatDecidedIt (new; it needs the new parameters, so it cannot be run on the code before).

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -357,7 +357,7 @@
 			return;
 		}
 		this.outcome = Outcome.REFUSED;
-		this.log.refused(this.request, status, reason);
+		this.log.refused(this.request, status, reason, this.entry.state(), now());
 		respond(LocalResponse.of(status, this.entry.context().names(), this.request.id()));
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -25,6 +25,9 @@
 	/** The monotonic clock stood still while the wall clock advanced. */
 	PAUSE_DETECTED(5),
 
+	/** A configuration was read or received from a peer, and waits to be decoded. */
+	CONFIG_RECEIVED(20),
+
 	/** A configuration was applied. */
 	CONFIG_APPLIED(20),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RequestLog.java
@@ -41,8 +41,8 @@
 
 	void placed(MeshRoute route, int rank, TargetChoice choice, RoutingState state, long leftMillis, long now) {
 		this.trace.logIfKept(LogEvent.REQUEST_PLACED, "route", route.name(), "rank", rank, "target",
-				choice.target().id(), "left_ms", leftMillis, "targets_revision",
-				state.position(SourceChannel.TARGETS).revision(), "targets_age_ms",
+				choice.target().id(), "left_ms", leftMillis, "config_version", state.config().version(),
+				"targets_revision", state.position(SourceChannel.TARGETS).revision(), "targets_age_ms",
 				now - state.lastDeltaAtMillis(SourceChannel.TARGETS), "candidates",
 				new Candidates(choice.candidates()));
 	}
@@ -85,10 +85,20 @@
 				"after_ms", afterMillis, "return_ms", retryAfterMillis);
 	}
 
-	void refused(CallerRequest request, HttpResponseStatus status, String reason) {
+	/**
+	 * Logs that a request was refused and has not run.
+	 * @param request the request
+	 * @param status status sent to the caller
+	 * @param reason the reason
+	 * @param state the routing state by which it was refused
+	 * @param now current monotonic time in milliseconds
+	 */
+	void refused(CallerRequest request, HttpResponseStatus status, String reason, RoutingState state, long now) {
 		// The query may contain confidential data, and no route depends on it.
 		this.trace.logAlways(LogEvent.REQUEST_REFUSED, "status", status.code(), "reason", reason, "host",
-				request.host(), "path", request.uri().split("\\?", 2)[0]);
+				request.host(), "path", request.uri().split("\\?", 2)[0], "config_version",
+				(state.config() != null) ? state.config().version() : 0, "config_age_ms",
+				now - state.lastDeltaAtMillis(SourceChannel.CONFIG));
 	}
 
 	/**
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RoutingStateKeeper.java
@@ -118,7 +118,7 @@
 			updateAvailability("");
 			publish();
 		}
-		apply(channel, delta);
+		apply(channel, delta, "");
 	}
 
 	@Override
@@ -210,7 +210,7 @@
 	public void offer(SourceChannel channel, SourceDelta delta, String peer) {
 		this.control.execute(() -> {
 			SourcePosition held = position(channel);
-			if (apply(channel, delta)) {
+			if (apply(channel, delta, peer)) {
 				this.log.logNodeEvent(LogEvent.PEER_UPDATE, "peer", peer, "document", channel, "from_revision",
 						held.revision(), "to_revision", delta.to(), "items", delta.items().size());
 				if (this.ownReport != Report.NONE) {
@@ -238,7 +238,14 @@
 		return this.documents.get(channel).position();
 	}
 
-	private boolean apply(SourceChannel channel, SourceDelta delta) {
+	/**
+	 * Applies a delta.
+	 * @param channel the document
+	 * @param delta its changes
+	 * @param peer name of the peer's VM that sent it; empty if this node has read it
+	 * @return false if it changes nothing
+	 */
+	private boolean apply(SourceChannel channel, SourceDelta delta, String peer) {
 		SourcePosition held = position(channel);
 		List<String> removed = this.documents.get(channel).apply(delta);
 		if (removed == null) {
@@ -250,15 +257,17 @@
 		long now = this.time.monotonicMillis();
 		this.lastDeltaAtMillis[channel.ordinal()] = now;
 		switch (channel) {
-			case CONFIG -> delta.items().forEach(this::decodeLater);
+			case CONFIG -> delta.items().forEach((item) -> decodeLater(item, peer));
 			case TARGETS -> applyTargets(delta, removed, now);
 		}
 		publish();
 		return true;
 	}
 
-	private void decodeLater(SourceItem item) {
+	private void decodeLater(SourceItem item, String peer) {
 		OptionalLong version = this.decoder.configVersion(item);
+		this.log.logNodeEvent(LogEvent.CONFIG_RECEIVED, "version", version.orElse(0), "revision", item.revision(),
+				"peer", peer);
 		if (version.isEmpty()) {
 			// Decoded at once, because decoding logs what is wrong with it.
 			applyConfig(item);
@@ -319,6 +328,7 @@
 	 * @return false if it is invalid
 	 */
 	private boolean applyConfig(SourceItem item) {
+		long startMillis = this.time.monotonicMillis();
 		Either<List<Problem>, MeshConfig> decoded = decode(item, this.decoder::config);
 		if (decoded.isLeft()) {
 			this.log.logNodeEvent(LogEvent.CONFIG_REFUSED, "revision", item.revision(), "problems",
@@ -336,7 +346,7 @@
 		}
 		this.config = newConfig;
 		this.log.logNodeEvent(LogEvent.CONFIG_APPLIED, "version", newConfig.version(), "revision", item.revision(),
-				"routes", newConfig.routes().all().size());
+				"routes", newConfig.routes().all().size(), "decode_ms", this.time.monotonicMillis() - startMillis);
 		return true;
 	}
 
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/DecisionLogTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -9,6 +10,9 @@
 import java.util.stream.IntStream;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.eelgrasspitch.mesh.CallerLimits;
+import org.eelgrasspitch.mesh.MeshConfig;
+import org.eelgrasspitch.mesh.RouteTable;
 import org.eelgrasspitch.mesh.TargetLoad;
 import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.TimeSource;
@@ -172,12 +176,32 @@
 		request.refused(
 				new CallerRequest("q1", "GET", "/x?token=secret", "a.example", List.of("Cookie", "secret"),
 						CallHead.NO_BODY, Optional.empty(), true, Optional.empty()),
-				HttpResponseStatus.NOT_FOUND, "no route");
+				HttpResponseStatus.NOT_FOUND, "no route", state(12, 4_000), 4_700);
 		Assert.assertEquals(this.lines.size(), 7);
 		Assert.assertTrue(this.lines.getLast().contains("\"path\":\"/x\""), this.lines.getLast());
 		this.lines.forEach((line) -> Assert.assertFalse(line.contains("secret"), line));
 	}
 
+	// A request that was refused for an outdated version did not say for which.
+	@Test
+	public void refusalNamesTheVersionThatDecidedIt() {
+		CallerRequest request = new CallerRequest("q1", "GET", "/x", "a.example", List.of(), CallHead.NO_BODY,
+				Optional.empty(), true, Optional.empty());
+		RequestLog log = new RequestLog(log(LogDetail.FULL), "q1");
+		log.refused(request, HttpResponseStatus.NOT_FOUND, "no route", state(12, 4_000), 4_700);
+		log.refused(request, HttpResponseStatus.BAD_REQUEST, "malformed", RoutingState.EMPTY, 4_700);
+		Assert.assertTrue(this.lines.getFirst().contains("\"config_version\":12,\"config_age_ms\":700"),
+				this.lines.getFirst());
+		Assert.assertTrue(this.lines.getLast().contains("\"config_version\":0"), this.lines.getLast());
+	}
+
+	private static RoutingState state(long version, long learnedAtMillis) {
+		MeshConfig config = new MeshConfig(version, CallerLimits.DEFAULT, new RouteTable(List.of()), Map.of());
+		RoutingState empty = RoutingState.EMPTY;
+		return new RoutingState(config, empty.directory(), true, empty.positions(), empty.lastChanges(),
+				new long[] { learnedAtMillis, learnedAtMillis }, empty.sourceReport());
+	}
+
 	private static void fail(DecisionLog log, int first, int count) {
 		IntStream.range(first, first + count)
 			.forEach((i) -> new RequestTrace(log, "bad-" + i, false).logAlways(LogEvent.REQUEST_FAILED, "reason",
