--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LogEvent.java
@@ -16,6 +16,9 @@
 	/** The node stops; requests and calls in progress are counted. */
 	NODE_STOPPED(5),
 
+	/** A thread that handles requests or the configuration ended by itself. */
+	EVENT_LOOP_ENDED(5),
+
 	/** The settings were read again and applied. */
 	SETTINGS_RELOADED(5),
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyNode.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -46,6 +47,12 @@
 
 	private final Source source;
 
+	/** Completed when an event loop has ended although the node was not closed. */
+	private final CompletableFuture<Void> broken = new CompletableFuture<>();
+
+	/** Whether the node ends its event loops itself. */
+	private volatile boolean closing;
+
 	private final RoutingStateKeeper stateKeeper;
 
 	/** Monotonic time of the last comparison of the clocks, in milliseconds. */
@@ -141,9 +148,32 @@
 	 */
 	@Override
 	public void close() {
+		this.closing = true;
 		this.closer.close();
 	}
 
+	/**
+	 * Sets what to do when an event loop has ended by itself, for want of memory for
+	 * instance. The node serves nothing any more then, and must be started again.
+	 * @param action called at most once, on any thread; at once if a loop has ended
+	 */
+	public void onBroken(Runnable action) {
+		this.broken.thenRun(action);
+	}
+
+	private void loopEnded(String name) {
+		if (this.closing) {
+			return;
+		}
+		try {
+			this.context.log().logNodeEvent(LogEvent.EVENT_LOOP_ENDED, "loop", name);
+		}
+		finally {
+			// Memory may be short, so that even the log line fails.
+			this.broken.complete(null);
+		}
+	}
+
 	private void updateState(RoutingState state) {
 		this.entry.updateState(state);
 		this.home.updateDirectory(state.directory());
@@ -206,6 +236,7 @@
 		EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory(name, true));
 		this.closer.register(() -> group.shutdownGracefully(0, THREAD_END_MILLIS, TimeUnit.MILLISECONDS)
 			.awaitUninterruptibly(THREAD_END_MILLIS));
+		group.terminationFuture().addListener((ended) -> loopEnded(name));
 		return (EventLoop) group.next();
 	}
 
