Refuse what a stopping node cannot answer before its end

What callers saw: requests that were taken late in a planned stop were passed on, and got 504 when the node sent its last answers, while their target still ran them, among them requests that may run once only. A request whose body ended 4 s after the signal was passed on as well.

Cause: whether a request is accepted depended on the time of its arrival only. The expected service time was compared with the end only in the queue of a home, for the end of its own node, and not again when a call got permission or a connection. The estimate was a short default for a route that had not been seen for 8 s. An entry node that stops did not compare at all.

Change: StopSequence.endsInTime decides at each place where a request is accepted or started: at the entry node when it chooses a target and when a home asks for permission to start, and at the home when a call arrives and when it starts (HomeStop). The estimate is the last known one of the route, and calls that run already raise it. A request that is complete only when nothing is accepted any more is refused. Attempts that begin during the stop have their deadline bounded too. No time limit is changed.

HomeServiceTests.callThatOutlastsItsHomeIsStarted failed before (the call was started) and passes. The property test startedWorkIsCutOffByTheEndOfTheNode uses the new condition, so it cannot be run on the former code; it passes for 1 to 600 s.

Not changed: an idempotent request that has waited at another node's home since before the stop of its entry node starts unasked.

--- a/core/src/main/java/org/eelgrasspitch/mesh/ServiceTimes.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/ServiceTimes.java
@@ -72,6 +72,19 @@
 		return (recent > 0) ? recent : UNKNOWN_MILLIS;
 	}
 
+	/**
+	 * Returns the service time that is known of a route, however old. It is for decisions
+	 * that an estimate which is never corrected does not harm, such as those of a node
+	 * that stops.
+	 * @param route name of the route
+	 * @return the last average time of the route in milliseconds; the average over all
+	 * routes, but at least a short default, if the route was never observed
+	 */
+	public double lastKnownMillis(String route) {
+		Observation observation = this.byRoute.get(route);
+		return (observation != null) ? observation.millis() : Math.max(this.overallMillis, UNKNOWN_MILLIS);
+	}
+
 	/**
 	 * Returns the average service time over all routes.
 	 * @return the time in milliseconds; 0 before the first observation
--- a/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
+++ b/core/src/main/java/org/eelgrasspitch/mesh/StopSequence.java
@@ -23,6 +23,9 @@
  * refusal. All times are bounded by shares of the time to stop, so their order is the
  * same for every setting.
  * <p>
+ * Work that cannot end before the last answers is refused while that is still true, see
+ * {@link #endsInTime}, because it would be cut off.
+ * <p>
  * Example: a node with 10 s to stop has its last request answered after 2.2 s. At 2.3 s
  * it refuses requests and calls, at 2.4 s it ends its connections, and it closes a round
  * trip later. If a call arrives at 2.35 s, it is refused and has not run.
@@ -68,6 +71,12 @@
 	 */
 	static final long QUIET_MILLIS = 100;
 
+	/**
+	 * Factor on the expected time of work that must fit before the last answers. The
+	 * expected time is an average, and work that is cut off cannot be taken back.
+	 */
+	private static final double EXPECTED_TIME_MARGIN = 1.2;
+
 	/** Maximum time for the other sides to close the connections. */
 	private static final long MAX_CLOSING_MILLIS = 1_000;
 
@@ -157,6 +166,20 @@
 		return this.stage == Stage.LEAVING && now - this.startedAtMillis < callAcceptMillis();
 	}
 
+	/**
+	 * Returns whether work that starts now is expected to end in time. Work that is not
+	 * must be refused while it has not run: when it arrives, and again when it is its
+	 * turn to start.
+	 * @param expectedMillis its expected service time in milliseconds
+	 * @param endAtMillis monotonic time in milliseconds at which the last answers are
+	 * due, see {@link #answersAtMillis()}; {@link Long#MAX_VALUE} if no node is stopping
+	 * @param now current monotonic time in milliseconds
+	 * @return false if it must not start
+	 */
+	public static boolean endsInTime(double expectedMillis, long endAtMillis, long now) {
+		return now + EXPECTED_TIME_MARGIN * expectedMillis <= endAtMillis;
+	}
+
 	/**
 	 * Returns how long callers take to move to other nodes after the signal.
 	 * @return the time in milliseconds
--- a/core/src/test/java/org/eelgrasspitch/mesh/StopSequenceTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/StopSequenceTests.java
@@ -1,6 +1,12 @@
 package org.eelgrasspitch.mesh;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.eelgrasspitch.mesh.StopSequence.Stage;
 import org.eelgrasspitch.mesh.StopSequence.Work;
@@ -124,6 +130,60 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] allStopMillis() {
+		return Stream.of(1, 2, 3, 6, 10, 12, 20, 60, 600)
+			.map((seconds) -> new Object[] { TimeUnit.SECONDS.toMillis(seconds) })
+			.toArray(Object[][]::new);
+	}
+
+	/**
+	 * Whatever arrives during a stop, waits for its turn and then starts: it ends before
+	 * the last answers, also if it takes a sixth longer than expected, and nothing starts
+	 * that was sent later than 3 s after the signal.
+	 */
+	@Test(dataProvider = "allStopMillis")
+	public void startedWorkIsCutOffByTheEndOfTheNode(long stopMillis) {
+		for (double service = 50; service <= 1.5 * stopMillis; service *= 1.6) {
+			for (long wait = 0; wait <= stopMillis; wait = 2 * wait + 100) {
+				playStop(stopMillis, service, wait);
+			}
+		}
+	}
+
+	private static void playStop(long stopMillis, double serviceMillis, long waitMillis) {
+		StopSequence stop = new StopSequence(stopMillis, START);
+		Map<Long, Long> endByArrival = new TreeMap<>();
+		List<Long> waiting = new ArrayList<>();
+		int refused = 0;
+		String played = stopMillis + " ms to stop, service " + serviceMillis + " ms, wait " + waitMillis + " ms";
+		Stage stage = Stage.LEAVING;
+		for (long now = START; stage != Stage.CLOSED; now += TICK_MILLIS) {
+			long time = now;
+			endByArrival.values().removeIf((end) -> end <= time);
+			stage = stop.advance(new Work(waiting.size() + endByArrival.size(), 0, 0, 0), now);
+			if (stage == Stage.ANSWERING) {
+				Assert.assertEquals(endByArrival, Map.of(), played + ": started and not ended");
+				waiting.clear();
+			}
+			boolean fits = StopSequence.endsInTime(serviceMillis, stop.answersAtMillis(), now);
+			if (stop.acceptsRequests(now) && fits) {
+				Assert.assertTrue(now - START <= 3_000, played + ": accepted after " + (now - START));
+				waiting.add(now);
+			}
+			else {
+				refused++;
+			}
+			List<Long> turn = waiting.stream().filter((arrival) -> arrival + waitMillis <= time).toList();
+			waiting.removeAll(turn);
+			turn.stream()
+				.filter((arrival) -> fits)
+				.forEach((arrival) -> endByArrival.put(arrival, time + (long) (serviceMillis * 7 / 6)));
+		}
+		Assert.assertTrue(refused > 0, played + ": none refused");
+		Assert.assertEquals(endByArrival, Map.of(), played + ": cut off");
+	}
+
 	// The event loop was held up past the end, so the step that answers was left out.
 	@Test(dataProvider = "stopMillis")
 	public void delayedCheckClosesWithoutAnswers(long stopMillis) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Attempt.java
@@ -23,6 +23,8 @@
 
 	private final Exchange exchange;
 
+	private final EntryService entry;
+
 	private final TargetEntry target;
 
 	private final long sentAtMillis;
@@ -56,8 +58,9 @@
 	/** Whether the end of the request's body was sent. */
 	private boolean bodyEndSent;
 
-	Attempt(Exchange exchange, TargetEntry target, long sentAtMillis) {
+	Attempt(Exchange exchange, EntryService entry, TargetEntry target, long sentAtMillis) {
 		this.exchange = exchange;
+		this.entry = entry;
 		this.target = target;
 		this.sentAtMillis = sentAtMillis;
 	}
@@ -166,6 +169,12 @@
 	@Override
 	public void startRequested() {
 		if (isCurrent() && this.handle != null) {
+			// It may have waited at the home since before this node began to stop.
+			if (this.entry.isOutlasted(this.target.id(), this.exchange.route().name())) {
+				this.handle.cancel();
+				this.exchange.attemptFailed(this, CallFailure.notSent(FailureReason.OVERLOADED, 0, TargetLoad.UNKNOWN));
+				return;
+			}
 			this.permitted = true;
 			this.handle.start();
 			return;
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/EntryService.java
@@ -158,6 +158,28 @@
 		return isStopping() ? Math.min(deadlineAtMillis, this.stop.answersAtMillis()) : deadlineAtMillis;
 	}
 
+	/**
+	 * Returns whether a request is expected to outlast this node if a target starts it
+	 * now.
+	 * @param targetId identifier of the target
+	 * @param route name of the request's route
+	 * @return true if this node is stopping and the request must not start
+	 */
+	boolean isOutlasted(String targetId, String route) {
+		return isStopping() && !StopSequence.endsInTime(lastKnownMillis(targetId, route), this.stop.answersAtMillis(),
+				this.context.now());
+	}
+
+	private double lastKnownMillis(String targetId, String route) {
+		ServiceTimes observed = this.serviceTimesByTarget.get(targetId);
+		return (observed != null) ? observed.lastKnownMillis(route)
+				: this.serviceTimesByTarget.values()
+					.stream()
+					.mapToDouble((other) -> other.lastKnownMillis(route))
+					.max()
+					.orElse(0);
+	}
+
 	int activeRequests() {
 		return this.activeRequests;
 	}
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -107,7 +107,7 @@
 		}
 		Optional<String> unavailableReason = this.entry.unavailableReason();
 		if (unavailableReason.isPresent()) {
-			unavailable(unavailableReason.get());
+			unavailable(unavailableReason.get(), 0);
 			return;
 		}
 		Optional<MeshRoute> found = this.entry.state().config().routes().find(this.request.host(), this.request.uri());
@@ -188,6 +188,11 @@
 		if (this.ended) {
 			return;
 		}
+		// Its body may have arrived when nothing is accepted any more.
+		if (this.attempts.triedTargets().isEmpty() && this.entry.unavailableReason().isPresent()) {
+			unavailable(this.entry.unavailableReason().get(), 0);
+			return;
+		}
 		if (this.entry.isQuarantined(this.request, this.body)) {
 			refuseOrFail("quarantined", QuarantineKeeper.RETRY_AFTER_MILLIS);
 			return;
@@ -201,6 +206,10 @@
 			waitForLinkOrGiveUp(now);
 			return;
 		}
+		if (this.entry.isOutlasted(choice.get().target().id(), route().name())) {
+			refuseOrFail("stopping", this.attempts.retryAfterMillis());
+			return;
+		}
 		send(choice.get(), now);
 	}
 
@@ -219,7 +228,7 @@
 	private void send(TargetChoice choice, long now) {
 		this.log.placed(route(), this.admission.rank(), choice, this.entry.state(),
 				this.admission.deadlineAtMillis() - now, now);
-		Attempt attempt = new Attempt(this, choice.target(), now);
+		Attempt attempt = new Attempt(this, this.entry, choice.target(), now);
 		this.attempts.began(attempt);
 		start(attempt, this.attempts.reachedTargetCount() > 0);
 		if (isCurrent(attempt) && mayHedge()) {
@@ -230,7 +239,7 @@
 	private void start(Attempt attempt, boolean retry) {
 		TargetEntry target = attempt.target();
 		CallHead head = new CallHead(this.request.id(), route().name(), target.id(), this.request.method(),
-				this.request.uri(), this.request.headers(), this.admission.deadlineAtMillis(),
+				this.request.uri(), this.request.headers(), this.entry.boundDeadline(this.admission.deadlineAtMillis()),
 				this.admission.objectiveAtMillis(), this.admission.rank(), route().idempotent(), retry,
 				this.log.isKept(), this.entry.statements().limitPerSecond(target), this.request.bodyLength());
 		if (this.attempts.triedTargets().size() == 1) {
@@ -261,7 +270,7 @@
 		if (second.isEmpty() || !this.entry.tryAcquireRetry(this.admission.service(), Purpose.HEDGE)) {
 			return;
 		}
-		Attempt hedgeAttempt = new Attempt(this, second.get().target(), now());
+		Attempt hedgeAttempt = new Attempt(this, this.entry, second.get().target(), now());
 		this.log.hedged(route(), slow, hedgeAttempt, this.entry.availableRetries(this.admission.service()));
 		this.entry.context().metrics().hedged();
 		this.attempts.hedgeBegan(hedgeAttempt);
@@ -334,16 +343,12 @@
 		boolean definitelyNotRun = this.attempts.haveDefinitelyNotRun();
 		this.attempts.cancel();
 		if (definitelyNotRun) {
-			unavailable(reason);
+			unavailable(reason, this.attempts.retryAfterMillis());
 			return;
 		}
 		fail(HttpResponseStatus.GATEWAY_TIMEOUT);
 	}
 
-	private void unavailable(String reason) {
-		unavailable(reason, this.attempts.retryAfterMillis());
-	}
-
 	private void unavailable(String reason, int retryAfterMillis) {
 		this.outcome = Outcome.REFUSED;
 		long millis = LocalResponse.retryAfterMillis(retryAfterMillis, this.entry.context().random());
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -75,12 +75,11 @@
 	/** Whether this node is about to stop. */
 	private boolean leaving;
 
-	/** Whether this node is about to close, so that no call may start any more. */
-	private boolean closing;
-
 	/** Calls not ended that were sent to the target or wait for a connection to it. */
 	private final RunningCalls running = new RunningCalls();
 
+	private final HomeStop stop = new HomeStop(this.outcomes, this.running);
+
 	private boolean queueCheckScheduled;
 
 	private final HandlingDelay handlingDelay = new HandlingDelay();
@@ -153,7 +152,7 @@
 	 * because this node is about to close.
 	 */
 	void refuseUnstarted() {
-		this.closing = true;
+		this.stop.beginClosing();
 		refuseWaiting();
 	}
 
@@ -206,6 +205,7 @@
 	 */
 	void beginStop(StopSequence begun) {
 		this.queue.setEnd(begun.answersAtMillis());
+		this.stop.begin(begun);
 	}
 
 	/**
@@ -230,7 +230,7 @@
 			this.condition.adoptLimit(head.targetLimitPerSecond());
 		}
 		HomeCall call = new HomeCall(this, head, listener, new CallLog(this.context.log(), head, entryVm), now());
-		if (this.leaving || this.condition.isDrained()) {
+		if (this.leaving || this.condition.isDrained() || this.stop.isOutlasted(head, now())) {
 			refuse(call, FailureReason.LEAVING, UNAVAILABLE_RETRY_AFTER_MILLIS);
 			return call;
 		}
@@ -475,11 +475,7 @@
 	 * Returns why a call that has got a slot must not be sent to the target any more.
 	 */
 	private Optional<FailureReason> startObstacle(HomeCall call) {
-		if (this.closing || this.condition.isDrained()) {
-			return Optional.of(FailureReason.LEAVING);
-		}
-		boolean late = now() >= call.head().deadlineAtMillis();
-		return late ? Optional.of(FailureReason.OVERLOADED) : Optional.empty();
+		return this.condition.isDrained() ? Optional.of(FailureReason.LEAVING) : this.stop.obstacle(call.head(), now());
 	}
 
 	private void connected(HomeCall call, TargetConnection connection) {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/RunningCalls.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/RunningCalls.java
@@ -51,6 +51,20 @@
 			.toList();
 	}
 
+	/**
+	 * Returns for how long the oldest running call of a route has run.
+	 * @param route name of the route
+	 * @param now current monotonic time in milliseconds
+	 * @return the time in milliseconds; 0 if none runs
+	 */
+	long longestMillis(String route, long now) {
+		return this.calls.stream()
+			.filter((call) -> call.head().route().equals(route))
+			.mapToLong((call) -> now - call.claimedAtMillis())
+			.max()
+			.orElse(0);
+	}
+
 	/**
 	 * Logs that the calls are cut off.
 	 * @param now current monotonic time in milliseconds
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/TargetOutcomes.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/TargetOutcomes.java
@@ -49,6 +49,16 @@
 		return this.serviceTimes.expectedMillis(route, now);
 	}
 
+	/**
+	 * Returns the service time that is known of a route, however old; see
+	 * {@link ServiceTimes#lastKnownMillis}.
+	 * @param route name of the route
+	 * @return the time in milliseconds
+	 */
+	double lastKnownMillis(String route) {
+		return this.serviceTimes.lastKnownMillis(route);
+	}
+
 	/**
 	 * Returns the moving average of the service time.
 	 * @return the time in milliseconds; 0 before the first observation
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/AttemptsTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/AttemptsTests.java
@@ -37,7 +37,7 @@
 	private static void fail(Attempts attempts, FailureReason reason, int number) {
 		TargetEntry target = new TargetEntry("t" + number, "s", new InetSocketAddress("127.0.0.1", 1), "fd", 9, false,
 				0, 1, 1);
-		Attempt attempt = new Attempt(null, target, 0);
+		Attempt attempt = new Attempt(null, null, target, 0);
 		attempts.began(attempt);
 		Assert.assertFalse(attempts.failed(attempt, CallFailure.notSent(reason, 200 + number, TargetLoad.UNKNOWN)));
 	}
--- a/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/HomeServiceTests.java
@@ -14,6 +14,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import org.eelgrasspitch.mesh.StopSequence;
 import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.Digest;
 import org.eelgrasspitch.misc.TimeSource;
@@ -36,6 +37,8 @@
 
 	private static final long TIMEOUT_SECONDS = 10;
 
+	private static final long STOP_MILLIS = 1_000;
+
 	private NioEventLoopGroup group;
 
 	private ServerSocket target;
@@ -120,6 +123,20 @@
 		Assert.assertFalse(failure.mayHaveRun());
 	}
 
+	// The target had begun it for longer than the home was to last, and it was cut off.
+	@Test
+	public void callThatOutlastsItsHomeIsStarted() throws Exception {
+		submit("/slow");
+		TimeUnit.MILLISECONDS.sleep(STOP_MILLIS);
+		onLoop(() -> {
+			this.home.beginStop(new StopSequence(STOP_MILLIS, this.time.monotonicMillis()));
+			return null;
+		});
+		CallFailure failure = submit("/pay").failure().get(STOP_MILLIS / 2, TimeUnit.MILLISECONDS);
+		Assert.assertEquals(failure.reason(), FailureReason.LEAVING);
+		Assert.assertFalse(failure.mayHaveRun());
+	}
+
 	private Submitted submit(String uri) throws Exception {
 		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
 		return onLoop(() -> new Submitted(this.home.submit(head(uri), "vm-2", new Listener(failure)), failure));
--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/LostSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/LostSteps.java
@@ -41,6 +41,11 @@
 
 	private static final int PIECE_BYTES = 16_384;
 
+	/** Time in which the head of a request reaches its node. */
+	private static final int ARRIVE_MILLIS = 200;
+
+	private static final int OK = 200;
+
 	private static final int UNAVAILABLE = 503;
 
 	/** The connection ended and nothing was received. */
@@ -186,6 +191,74 @@
 		}
 	}
 
+	@Given("requesters at {word} have sent POST {word} before")
+	public void sentBefore(String vm, String path) throws IOException {
+		RawCaller caller = PlatformWorlds.current().caller(vm);
+		caller.request("POST", PlatformSteps.HOST, path, "before" + this.nextId++, PATIENT_MILLIS, "order");
+		Assert.assertEquals(caller.read().status(), OK);
+	}
+
+	@When("the node at {word} is told to stop, and requesters at {word} send POST {word} every {int} ms from {int} ms to {int} ms")
+	public void sendDuringStop(String stopped, String vm, String behaviour, int intervalMillis, int fromMillis,
+			int toMillis) {
+		Thread.ofVirtual().start(() -> PlatformWorlds.current().node(stopped).leave());
+		Cluster.sleep(fromMillis);
+		for (int millis = fromMillis; millis < toMillis; millis += intervalMillis) {
+			String path = "/order/" + millis + "/" + behaviour;
+			String id = "lost" + this.nextId++;
+			this.readers.add(Thread.ofVirtual().start(() -> order(vm, path, id)));
+			Cluster.sleep(intervalMillis);
+		}
+	}
+
+	/**
+	 * Sends an order and reads its answer; one whose connection is refused is not sent.
+	 */
+	private void order(String vm, String path, String id) {
+		try (RawCaller caller = PlatformWorlds.current().caller(vm)) {
+			caller.request("POST", PlatformSteps.HOST, path, id, PATIENT_MILLIS, "order");
+			this.answers.put(path, read(caller));
+		}
+		catch (IOException ex) {
+			this.answers.put(path, NOTHING);
+		}
+	}
+
+	@When("a requester at {word} sends the head of POST {word} before the node is told to stop, and its body {int} ms later")
+	public void sendBodyLate(String vm, String path, int millis) throws IOException {
+		RawCaller caller = PlatformWorlds.current().caller(vm);
+		caller.send("POST " + path + " HTTP/1.1\r\nHost: " + PlatformSteps.HOST + "\r\nX-Request-Id: lost"
+				+ this.nextId++ + "\r\nX-Request-Timeout-Ms: " + PATIENT_MILLIS + "\r\nContent-Length: 5\r\n\r\n");
+		Cluster.sleep(ARRIVE_MILLIS);
+		Thread.ofVirtual().start(() -> PlatformWorlds.current().node(vm).leave());
+		Cluster.sleep(millis);
+		caller.send("order");
+		this.sent.put(path, caller);
+	}
+
+	@Then("each of them gets the server's answer, or 503 and no server got it")
+	public void servedOrNotRun() {
+		readAll(0);
+		Assert.assertFalse(this.answers.isEmpty(), "requests were sent");
+		List<String> lost = this.answers.entrySet()
+			.stream()
+			.filter((each) -> isLost(each.getKey(), each.getValue()))
+			.map(Map.Entry::getKey)
+			.toList();
+		Assert.assertEquals(lost, List.of(), lost.size() + " of " + this.statuses());
+	}
+
+	/**
+	 * Returns whether a request got an answer of the system after a server had begun it,
+	 * or none. One that no server got may also find the connection closed unread.
+	 */
+	private static boolean isLost(String path, Response answer) {
+		boolean started = PlatformWorlds.current().startsOf(path) > 0;
+		boolean served = answer.status() == OK && answer.whole();
+		boolean refused = answer.status() == UNAVAILABLE && answer.whole();
+		return started ? !served : !refused && answer.status() != 0;
+	}
+
 	private void readAll(int delayMillis) {
 		this.sent.forEach((path, caller) -> this.readers.add(Thread.ofVirtual().start(() -> {
 			Cluster.sleep(delayMillis);
