Refuse a waiting request that outlasts its stopping node daemon

What callers saw: a request that waited for a slot of a stopping node was started when too little time was left, and got 504 when the last answers were due, while its target still ran it.

Cause: HomeService.dispatch compared the start with the deadline of the request only, not with the end of the node, and the home knew no service times.

Change: AcceptedWork holds the time of the last answers from the begin of the stop; the home observes service times by operation and refuses a request whose turn comes too late with StopSequence.endsInTime, the same condition as in the streaming proxy.

Not changed: attempts that an entry node of the daemon makes at other homes during its stop are not checked. StopSchedule and StopSequence remain two classes.

--- a/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
+++ b/node/src/main/java/org/eelgrasspitch/node/AcceptedWork.java
@@ -25,6 +25,12 @@
 
 	private volatile boolean timeOver;
 
+	/**
+	 * Monotonic time in milliseconds at which the last answers are due;
+	 * {@link Long#MAX_VALUE} while the node does not stop.
+	 */
+	private volatile long endAtMillis = Long.MAX_VALUE;
+
 	/**
 	 * Adds an item.
 	 * @return the item, to be ended when its answer has been written
@@ -47,6 +53,19 @@
 		this.accepting = false;
 	}
 
+	/**
+	 * Sets when the last answers are due. Work that is expected to take longer must not
+	 * be started any more.
+	 * @param newEndAtMillis the time, in monotonic milliseconds
+	 */
+	void setEnd(long newEndAtMillis) {
+		this.endAtMillis = newEndAtMillis;
+	}
+
+	long endAtMillis() {
+		return this.endAtMillis;
+	}
+
 	/**
 	 * Tells whether nothing new may be started because the time to stop is over.
 	 * @return true once {@link #sendLastAnswers} was called
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -7,6 +7,8 @@
 import java.util.random.RandomGenerator;
 
 import okhttp3.Call;
+import org.eelgrasspitch.mesh.ServiceTimes;
+import org.eelgrasspitch.mesh.StopSequence;
 import org.eelgrasspitch.mesh.TargetStatement;
 import org.eelgrasspitch.mesh.TargetStatements;
 import org.eelgrasspitch.misc.Digest;
@@ -60,6 +62,9 @@
 	/** Limit on the requests that run on the target; guarded by this object's lock. */
 	private final ConcurrencyLimit concurrencyLimit = new ConcurrencyLimit();
 
+	/** Service times by operation; guarded by this object's lock. */
+	private final ServiceTimes serviceTimes = new ServiceTimes();
+
 	/** Requests that crash targets; guarded by its own lock. */
 	private final Quarantine<String> quarantine = new Quarantine<>();
 
@@ -274,7 +279,8 @@
 
 	/**
 	 * Sends an admitted request to the target. The deadline is checked again because this
-	 * process may have been paused since the admission.
+	 * process may have been paused since the admission. A request that is expected to
+	 * outlast this node, which has begun to stop since, is refused.
 	 */
 	private void dispatch(PendingRequest pending) {
 		long remaining = pending.deadlineAt - now();
@@ -283,12 +289,29 @@
 			complete(pending, refusal(Reason.DEADLINE_PASSED));
 			return;
 		}
+		if (outlastsNode(pending)) {
+			release();
+			complete(pending, refusal(Reason.LEAVING));
+			return;
+		}
 		long sentAt = now();
 		pending.call = this.target.send(pending.request, remaining, (statement) -> recordStatement(statement, sentAt),
-				(outcome) -> targetCallEnded(pending, outcome));
+				(outcome) -> targetCallEnded(pending, outcome, now() - sentAt));
+	}
+
+	private synchronized boolean outlastsNode(PendingRequest pending) {
+		double expectedMillis = this.serviceTimes.lastKnownMillis(pending.request.route().operation());
+		return !StopSequence.endsInTime(expectedMillis, this.context.work().endAtMillis(), now());
+	}
+
+	private synchronized void recordServiceTime(PendingRequest pending, CallOutcome outcome, long millis) {
+		if (outcome instanceof CallOutcome.Answered) {
+			this.serviceTimes.observe(pending.request.route().operation(), millis, now());
+		}
 	}
 
-	private void targetCallEnded(PendingRequest pending, CallOutcome outcome) {
+	private void targetCallEnded(PendingRequest pending, CallOutcome outcome, long millis) {
+		recordServiceTime(pending, outcome, millis);
 		adjustLimit(outcome);
 		release();
 		boolean aborted = outcome instanceof CallOutcome.Unknown unknown && unknown.reason() == Reason.ANSWER_LOST;
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -127,10 +127,11 @@
 	 */
 	public void leave() {
 		AcceptedWork work = this.context.work();
-		work.endAccepting();
-		this.control.post(new FleetEvent.LeaveRequested());
 		StopSchedule schedule = new StopSchedule(this.context.time().monotonicMillis(),
 				this.context.settings().drainMillis());
+		work.setEnd(schedule.lastAnswersAt());
+		work.endAccepting();
+		this.control.post(new FleetEvent.LeaveRequested());
 		StopSchedule.Step step = StopSchedule.Step.WAIT;
 		while (step != StopSchedule.Step.CLOSE) {
 			sleepDrainPollInterval();
--- a/node/src/main/java/org/eelgrasspitch/node/StopSchedule.java
+++ b/node/src/main/java/org/eelgrasspitch/node/StopSchedule.java
@@ -30,6 +30,14 @@
 		this.lastAnswersAt = startedAt + Math.max(MIN_DRAIN_MILLIS, drainMillis);
 	}
 
+	/**
+	 * Returns when the last answers are due.
+	 * @return the time, in monotonic milliseconds
+	 */
+	long lastAnswersAt() {
+		return this.lastAnswersAt;
+	}
+
 	/**
 	 * Decides the next step. The last answers are sent before the node closes, however
 	 * late this is called, for example after a pause of the process.
--- a/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/NodeStopTests.java
@@ -23,6 +23,9 @@
 	/** The shortest time that a node takes to stop. */
 	private static final int MIN_STOP_MILLIS = 1_000;
 
+	/** Service time of a target that ends one request in the time to stop. */
+	private static final int SERVICE_MILLIS = 1_500;
+
 	/** Longer than any stop here. */
 	private static final int LONG_MILLIS = 6_000;
 
@@ -72,6 +75,22 @@
 		assertResponse(response, "503", "Request-Ran: no");
 	}
 
+	// It got the slot of the one before it when too little time was left, and was cut
+	// off.
+	@Test
+	public void waitingRequestIsStartedThoughItOutlastsTheNode() throws Exception {
+		this.node = new StoppingNode(2 * SERVICE_MILLIS - 3 * ARRIVE_MILLIS, false);
+		this.node.targetMillis = SERVICE_MILLIS;
+		assertResponse(this.node.request("GET", StoppingNode.READ, "q0"), "200", "");
+		CompletableFuture<String> first = this.node.request("GET", StoppingNode.READ, "q1");
+		pause(ARRIVE_MILLIS);
+		CompletableFuture<String> second = this.node.request("GET", StoppingNode.READ, "q2");
+		pause(ARRIVE_MILLIS);
+		this.node.leave();
+		assertResponse(first, "200", "");
+		assertResponse(second, "503", "Request-Ran: no");
+	}
+
 	// The entry node of such a request saw only that the connection ended.
 	@Test
 	public void waitingRequestOfAnotherNodeIsNotRefusedAtTheEnd() throws Exception {
