Wait in a test for the close of the connection instead of a span of time

The test slept for 100 ms, in which the copy had not been written yet, so it arrived while the second request ran, where an answer that is garbled is right. Change: the target reports that the home has closed the connection, and the second request is sent then. That asks more than before: a home that goes on to use the connection fails the test in any case.

--- a/proxy/src/test/java/org/eelgrasspitch/proxy/RepeatedTargetAnswerTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/RepeatedTargetAnswerTests.java
@@ -82,7 +82,7 @@
 			throws Exception {
 		try (Home home = new Home(moment, head + "ok", head.substring(0, length))) {
 			Assert.assertEquals(home.call("first", "GET"), "200 ok");
-			TimeUnit.MILLISECONDS.sleep(2 * PAUSE_MILLIS);
+			home.awaitCopyWhileIdle();
 			String end = home.call("second", "GET");
 			boolean whileIdle = moment == Moment.AT_ONCE || moment == Moment.IDLE;
 			boolean answered = end.equals("500 " + SECOND_BODY);
@@ -118,7 +118,7 @@
 			String answer) throws Exception {
 		try (Home home = new Home(moment, answer, answer)) {
 			home.call("first", firstMethod);
-			TimeUnit.MILLISECONDS.sleep(2 * PAUSE_MILLIS);
+			home.awaitCopyWhileIdle();
 			String end = home.call("second", secondMethod);
 			String expected = secondMethod.equals("HEAD") ? "500 " : ("500 " + SECOND_BODY);
 			boolean ended = moment == Moment.WITH_THE_END && end.equals(FailureReason.TARGET_BROKE_OFF.toString());
@@ -151,6 +151,9 @@
 
 		private final String copy;
 
+		/** Completed when the home closes the connection on which it got the copy. */
+		private final CompletableFuture<Void> closedAfterCopy = new CompletableFuture<>();
+
 		Home(Moment moment, String firstAnswer, String copy) throws IOException {
 			this.moment = moment;
 			this.firstAnswer = firstAnswer;
@@ -171,6 +174,16 @@
 			this.target.close();
 		}
 
+		/**
+		 * Waits until the home has closed the connection, if the copy arrives while that
+		 * is idle.
+		 */
+		void awaitCopyWhileIdle() throws Exception {
+			if (this.moment == Moment.AT_ONCE || this.moment == Moment.IDLE) {
+				this.closedAfterCopy.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}
+
 		/**
 		 * Sends a request.
 		 * @return status and body of the answer, or the reason of the failure
@@ -231,6 +244,23 @@
 				TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
 				write(accepted, this.copy);
 			}
+			if (this.moment == Moment.AT_ONCE || this.moment == Moment.IDLE) {
+				awaitClose(accepted);
+			}
+		}
+
+		private void awaitClose(Socket accepted) {
+			try {
+				if (accepted.getInputStream().read() < 0) {
+					this.closedAfterCopy.complete(null);
+					return;
+				}
+				this.closedAfterCopy.completeExceptionally(new IllegalStateException("the connection was used again"));
+			}
+			catch (IOException ex) {
+				// The home has reset the connection.
+				this.closedAfterCopy.complete(null);
+			}
 		}
 
 		private void answerSecond(Socket accepted, String answer) throws IOException, InterruptedException {
