--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Exchange.java
@@ -33,12 +33,6 @@
  */
 final class Exchange {
 
-	/** Interval at which a request without a usable target looks for one again. */
-	private static final long LINK_POLL_MILLIS = 40;
-
-	/** Maximum time that a request waits for a link to open. */
-	private static final long LINK_WAIT_MILLIS = 400;
-
 	/** Time after the deadline for what is on its way of a response that has begun. */
 	private static final long RESPONSE_END_MILLIS = 150;
 
@@ -66,8 +60,7 @@
 
 	private final PipelinePosition pipelinePosition = new PipelinePosition();
 
-	/** Monotonic time until which to wait for a link; 0 before the first wait. */
-	private long linkWaitUntilMillis;
+	private final LinkWait linkWait = new LinkWait();
 
 	/** Whether the response head was handed to the connection. */
 	private boolean responseStarted;
@@ -214,12 +207,9 @@
 	}
 
 	private void waitForLinkOrGiveUp(long now) {
-		if (this.linkWaitUntilMillis == 0) {
-			this.linkWaitUntilMillis = now + LINK_WAIT_MILLIS;
-		}
-		if (this.attempts.triedTargets().isEmpty() && now < this.linkWaitUntilMillis
+		if (this.attempts.triedTargets().isEmpty() && this.linkWait.mayGoOn(now)
 				&& this.entry.hasExpectedTarget(this.admission.service())) {
-			this.entry.context().loop().schedule(this::chooseTarget, LINK_POLL_MILLIS, TimeUnit.MILLISECONDS);
+			this.entry.context().loop().schedule(this::chooseTarget, LinkWait.POLL_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		giveUp();
