Judge which sending of an identifier an answer belongs to in the soak

An answer of a run that began before a sending was counted besides; it is now MIXED, as the answer to another sending. This is what a late second answer does when the same identifier is sent again. Node processes end with an interrupted soak.

--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Judge.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Judge.java
@@ -111,6 +111,9 @@
 		else if (run.status != attempt.status) {
 			mixed(attempt, "status " + attempt.status + " where the run answered " + run.status);
 		}
+		else if (run.arrivedMillis < attempt.sentMillis) {
+			mixed(attempt, "the answer of a run that began before this sending");
+		}
 		else {
 			judgeBody(attempt, run);
 		}
@@ -210,9 +213,6 @@
 		if (runs.stream().anyMatch((run) -> !run.ran && run.status >= SERVER_ERROR)) {
 			count("success, another arrival was refused by its target");
 		}
-		if (given != null && given.arrivedMillis < attempt.sentMillis) {
-			count("success of a run that began before this sending");
-		}
 	}
 
 	private boolean isDisturbed(Attempt attempt) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Soak.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Soak.java
@@ -41,6 +41,8 @@
 		output.println("seed " + options.seed() + ", " + options.seconds() + " s, without " + options.without()
 				+ ", logs in " + directory);
 		try (SoakWorld world = new SoakWorld(options, directory)) {
+			// Node processes do not outlive an interrupted run.
+			Runtime.getRuntime().addShutdownHook(new Thread(world::close));
 			world.run();
 			Judge judge = new Judge(world.evidence(), world.routes());
 			Map<String, Integer> counts = new TreeMap<>();
