Keep no connection on which a wrong answer came, in the node daemon

What callers saw: after a target had repeated one answer on a kept connection, each later request on it read the answer to the one before it, and was reported as unknown although the target had run it. Cause: the connection was cancelled after the answer had been read, when the library had put it back into its pool. Change: KeptConnections looks at the identifier as well, before the answer is passed on, and does not use the connection again. Besides, a health query closed every idle connection in search of one without a past: it has a client without connections now.

--- a/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
+++ b/node/src/main/java/org/eelgrasspitch/node/KeptConnections.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.WeakHashMap;
 
 import okhttp3.Connection;
@@ -21,11 +22,12 @@
  * carry the request, the connection is closed and {@link #choose} has the library choose
  * again. So a request is still sent at most once.
  * <p>
- * Only {@code Request-Id} in an answer assigns it. An answer without it counts on a
- * connection that has carried no other request, and that connection is not used again. A
- * request without an identifier, such as a health query, has a connection of its own. The
- * library does not notice bytes that arrive between two requests, so an answer that
- * begins in the head of another one ({@link StatusLines}) counts as lost.
+ * Only {@code Request-Id} in an answer assigns it. One that names another request counts
+ * as lost, and its connection is not used again, because the right one may follow. An
+ * answer without it counts on a connection that has carried no other request, and that
+ * connection is not used again. The library does not notice bytes that arrive between two
+ * requests, so an answer that begins in the head of another one ({@link StatusLines})
+ * counts as lost.
  * <p>
  * Thread-safe.
  */
@@ -77,30 +79,45 @@
 			ConnectionHistory history = this.histories.computeIfAbsent(chain.connection(),
 					(opened) -> new ConnectionHistory());
 			first = history.isEmpty();
-			if (!first && (id == null || !history.mayCarry(id))) {
+			if (!first && !history.mayCarry(id)) {
 				throw new UnusableConnectionException();
 			}
-			history.add((id != null) ? id : "");
-			last = id == null || history.isFull();
+			history.add(id);
+			last = history.isFull();
 		}
 		BoundedSocketFactory.responseBegins(chain.connection().socket());
 		Response response = chain.proceed(last ? request.newBuilder().header("Connection", "close").build() : request);
-		if (isJoined(response)) {
+		Optional<String> fault = fault(response, id, first);
+		if (fault.isPresent()) {
+			// Further answers on this connection would be taken for those of later
+			// requests.
 			retire(chain.connection());
 			response.close();
-			throw new IOException("the target's answer begins in the head of another one");
-		}
-		if (response.header(REQUEST_ID_HEADER) != null) {
-			return response;
+			throw new IOException(fault.get() + "; the answer to " + id + " counts as lost");
 		}
-		if (!first) {
-			response.close();
-			throw new IOException("the target's answer names no request; the one to " + id + " counts as lost");
+		if (response.header(REQUEST_ID_HEADER) == null) {
+			retire(chain.connection());
 		}
-		retire(chain.connection());
 		return response;
 	}
 
+	/**
+	 * Returns why a response cannot be taken for the answer to a request.
+	 * @param first whether the connection has carried no other request
+	 * @return the reason, or empty if it can
+	 */
+	private static Optional<String> fault(Response response, String id, boolean first) {
+		if (isJoined(response)) {
+			return Optional.of("a response of the target begins in the head of another one");
+		}
+		String echoedId = response.header(REQUEST_ID_HEADER);
+		if (echoedId == null) {
+			return first ? Optional.empty() : Optional.of("a response of the target names no request");
+		}
+		return echoedId.equals(id) ? Optional.empty()
+				: Optional.of("a response of the target names another request, " + echoedId);
+	}
+
 	private static boolean isJoined(Response response) {
 		return StatusLines.isIn(response.message()) || response.headers()
 			.names()
--- a/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
+++ b/node/src/main/java/org/eelgrasspitch/node/TargetClient.java
@@ -46,10 +46,8 @@
  * HTTP library still reads what the target has answered, and the reset that the write has
  * seen then looks like the end of the stream. Such a response counts as lost.
  * <p>
- * A response that names another request than this one in {@code Request-Id} is a late or
- * repeated one to an earlier request. It counts as lost as well, and the connection is
- * closed, because the right one may follow. {@link KeptConnections} keeps responses apart
- * that name the same request, or none.
+ * A late or repeated response to an earlier request counts as lost as well, see
+ * {@link KeptConnections}.
  */
 final class TargetClient implements AutoCloseable {
 
@@ -81,16 +79,18 @@
 
 	private final OkHttpClient client;
 
+	/** Client for health queries, which keeps no connection. */
+	private final OkHttpClient healthClient;
+
 	TargetClient(NodeSettings settings) {
 		this.host = settings.targetAddress().getAddress().getHostAddress();
 		this.port = settings.targetAddress().getPort();
 		Dispatcher dispatcher = new Dispatcher();
 		dispatcher.setMaxRequests(Integer.MAX_VALUE);
 		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
-		this.client = new KeptConnections(MAX_IDLE_CONNECTIONS).addTo(new OkHttpClient.Builder())
-			.dispatcher(dispatcher)
+		this.healthClient = new OkHttpClient.Builder().dispatcher(dispatcher)
 			.socketFactory(new BoundedSocketFactory(MAX_RESPONSE_BYTES))
-			.connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+			.connectionPool(new ConnectionPool(0, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.connectTimeout(CONNECT_TIMEOUT)
 			.retryOnConnectionFailure(false)
@@ -98,6 +98,9 @@
 			.followSslRedirects(false)
 			.readTimeout(Duration.ZERO)
 			.build();
+		this.client = new KeptConnections(MAX_IDLE_CONNECTIONS).addTo(this.healthClient.newBuilder())
+			.connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+			.build();
 	}
 
 	/**
@@ -120,7 +123,7 @@
 			.header("Config-Version", Long.toString(request.revision()));
 		Call call = this.client.newCall(builder.build());
 		call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-		call.enqueue(new ResponseHandler(request.requestId(), body, statements, callback));
+		call.enqueue(new ResponseHandler(body, statements, callback));
 		return call;
 	}
 
@@ -130,7 +133,7 @@
 	 * if the target does not respond
 	 */
 	void probe(Consumer<Boolean> callback) {
-		Call call = this.client.newCall(new Request.Builder().url(url("health")).build());
+		Call call = this.healthClient.newCall(new Request.Builder().url(url("health")).build());
 		call.timeout().timeout(HEALTH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
 		call.enqueue(new Callback() {
 			@Override
@@ -169,12 +172,11 @@
 	/**
 	 * Converts the result of a call into an outcome.
 	 *
-	 * @param requestId identifier of the request
 	 * @param body body of the request
 	 * @param statements receives what the target states about itself
 	 * @param callback receives the outcome
 	 */
-	private record ResponseHandler(String requestId, OneShotBody body, Consumer<TargetStatement> statements,
+	private record ResponseHandler(OneShotBody body, Consumer<TargetStatement> statements,
 			Consumer<CallOutcome> callback) implements Callback {
 
 		@Override
@@ -189,12 +191,6 @@
 
 		@Override
 		public void onResponse(Call call, Response response) {
-			if (!this.requestId.equals(response.header(KeptConnections.REQUEST_ID_HEADER, this.requestId))) {
-				response.close();
-				call.cancel();
-				this.callback.accept(new CallOutcome.Unknown(Reason.ANSWER_LOST));
-				return;
-			}
 			CallOutcome outcome;
 			this.statements
 				.accept(TargetStatement.of(response.header("Target-Limit"), isLeaving(response), !isRefusal(response)));
--- a/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/RepeatedAnswerTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.eelgrasspitch.fleet.Distribution;
 import org.eelgrasspitch.request.CallMessage;
@@ -55,11 +56,14 @@
 	/** Answer to a second request with the identifier of the first; empty if unused. */
 	private volatile String laterAnswer = "";
 
+	private final AtomicInteger connections = new AtomicInteger();
+
 	private final AtomicBoolean firstAnswered = new AtomicBoolean();
 
 	@BeforeMethod
 	public void open() throws IOException {
 		this.firstAnswered.set(false);
+		this.connections.set(0);
 		this.copy = null;
 		this.nextStatus = "200 OK";
 		this.target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
@@ -146,6 +150,36 @@
 		Assert.assertFalse(draining.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
 	}
 
+	// The connection of a wrong answer was kept, so each later request got the answer to
+	// the one before it.
+	@Test(dataProvider = "repeatedAnswers")
+	public void connectionOfAnAnswerToAnEarlierRequestIsNotKept(String first) throws Exception {
+		this.answer = first;
+		send("q1");
+		TimeUnit.MILLISECONDS.sleep(2 * COPY_MILLIS);
+		send("q2");
+		CallOutcome third = send("q3");
+		Assert.assertTrue(third instanceof CallOutcome.Answered answered
+				&& new String(answered.body(), StandardCharsets.US_ASCII).equals("q3"), third.toString());
+	}
+
+	@DataProvider
+	public Object[][] repeatedAnswers() {
+		return new Object[][] { { "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok" },
+				{ "HTTP/1.1 503 Busy\r\nRequest-Ran: no\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n" } };
+	}
+
+	// Each health query closed the connections that were kept for requests.
+	@Test
+	public void healthQueryLeavesKeptConnectionsAlone() throws Exception {
+		send("q2");
+		CompletableFuture<Boolean> draining = new CompletableFuture<>();
+		this.client.probe(draining::complete);
+		draining.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		send("q3");
+		Assert.assertEquals(this.connections.get(), 2);
+	}
+
 	private static int status(CallOutcome outcome) {
 		return (outcome instanceof CallOutcome.Answered answered) ? answered.status() : 0;
 	}
@@ -163,6 +197,7 @@
 		while (!this.target.isClosed()) {
 			try {
 				Socket accepted = this.target.accept();
+				this.connections.incrementAndGet();
 				Thread.ofVirtual().start(() -> serve(accepted));
 			}
 			catch (IOException ex) {
