--- a/proxy/src/test/java/org/eelgrasspitch/proxy/ConfigOrderTests.java
+++ b/proxy/src/test/java/org/eelgrasspitch/proxy/ConfigOrderTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.DefaultEventLoop;
@@ -100,7 +101,8 @@
 		/** Events of the current era, in the order of their revisions. */
 		private final List<SourceItem> events = new ArrayList<>();
 
-		private final List<Long> applied = new ArrayList<>();
+		/** Added to by the control thread, and read by that of the test. */
+		private final List<Long> applied = new CopyOnWriteArrayList<>();
 
 		private long era = 1;
 
