Write no copy behind a part of an answer in the soak

The target stopped in the middle of its answer, and its idle copy of an earlier answer followed on the same connection and completed the announced length. No reader of the connection can tell. Change: the target writes no copy after a part of an answer.

--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/ErraticTarget.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/ErraticTarget.java
@@ -165,6 +165,12 @@
 		/** Guarded by this. */
 		private final List<Pending> pending = new ArrayList<>();
 
+		/**
+		 * Whether the last answer is a part only. What follows would complete it, and no
+		 * reader could tell. Guarded by this.
+		 */
+		private boolean partWritten;
+
 		Connection(Socket accepted) {
 			this.accepted = accepted;
 		}
@@ -240,13 +246,13 @@
 				}
 				case SILENT_END -> run.written(now(), "nothing");
 				case BREAK_OFF -> {
-					write(part(answer, choice(answer.length)));
+					writePart(answer);
 					run.written(now(), "broken off");
 					Cluster.sleep(choice(MAX_IDLE_MILLIS));
 					this.accepted.setSoLinger(true, 0);
 				}
 				case STOP -> {
-					write(part(answer, choice(answer.length)));
+					writePart(answer);
 					run.written(now(), "stopped");
 					// Ends when the node closes the connection.
 					this.accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
@@ -255,6 +261,11 @@
 			return false;
 		}
 
+		private synchronized void writePart(byte[] answer) throws IOException {
+			this.partWritten = true;
+			write(part(answer, choice(answer.length)));
+		}
+
 		private boolean write(Run run, Plan plan, byte[] answer) throws IOException {
 			byte[] cut = part(answer, 1 + choice(headLength(answer) - 1));
 			ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -328,8 +339,14 @@
 
 		private void writeCopy(Run run, Plan.Copy copy, byte[] answer) throws IOException {
 			Cluster.sleep(choice(MAX_IDLE_MILLIS));
-			write(answer);
-			run.written(now(), copy.toString());
+			synchronized (this) {
+				if (this.partWritten) {
+					run.written(now(), "no copy behind a part of an answer");
+					return;
+				}
+				write(answer);
+				run.written(now(), copy.toString());
+			}
 		}
 
 		private synchronized void write(byte[] bytes) throws IOException {
