--- a/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
+++ b/node/src/test/java/org/eelgrasspitch/node/StoppingNode.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -111,6 +112,9 @@
 	/** True if the target closes the connection instead of answering. */
 	volatile boolean targetHangsUp;
 
+	/** Identifiers of the requests that have reached the target, in their order. */
+	private final List<String> received = new CopyOnWriteArrayList<>();
+
 	/** What the target answers. */
 	volatile byte[] answer = "answer".getBytes(StandardCharsets.US_ASCII);
 
@@ -163,6 +167,10 @@
 		}, Executors.newVirtualThreadPerTaskExecutor());
 	}
 
+	List<String> received() {
+		return this.received;
+	}
+
 	/**
 	 * Sends a caller's request and closes the connection after a time.
 	 * @param path the path
@@ -348,6 +356,7 @@
 			respond(exchange, "serving".getBytes(StandardCharsets.US_ASCII));
 			return;
 		}
+		this.received.add(String.valueOf(exchange.getRequestHeaders().getFirst("Request-Id")));
 		TimeUnit.MILLISECONDS.sleep(this.targetMillis);
 		if (!this.targetHangsUp) {
 			respond(exchange, this.answer);
