Notice in the node daemon that a caller has left

Requests that waited for a slot ran although their callers had left, and a running one kept its slot: with one slot and a target that takes 3 s, the next caller waited 3004 ms.

Cause: nothing in the daemon notices the end of a caller's connection, and the HTTP library tells its applications nothing of it.

Change: a handler in front of the library's, loaded as an extension of Netty, marks the connection that is being read, so that a request can watch it (CallerDeparture) until its response. An idempotent request then ends, its attempt is cancelled on its way, in the home's queue and at the target, and a cancellation that crosses the start at the home is not lost any more. Neither the target's health nor the objective is charged. At-most-once requests go on, as their callers can query the outcome.

--- a/core/src/main/java/org/eelgrasspitch/request/TargetSelector.java
+++ b/core/src/main/java/org/eelgrasspitch/request/TargetSelector.java
@@ -126,6 +126,16 @@
 		}
 	}
 
+	/**
+	 * Records that a request was cancelled because its caller has left. That says nothing
+	 * about the health of the target.
+	 * @param vm name of the target's VM
+	 * @param now current monotonic time in milliseconds
+	 */
+	public void onAbandoned(String vm, long now) {
+		statsOf(vm, now).onEnded();
+	}
+
 	/**
 	 * Returns the targets that are currently ejected.
 	 * @param now current monotonic time in milliseconds
--- a/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerHttpApi.java
@@ -51,8 +51,13 @@
 			return context;
 		}
 		CallerRequest request = parsed.get();
+		CallerDeparture departure = CallerDeparture.ofCurrentRequest();
 		return context.detach((detached) -> {
-			entry.handle(request, item, (reply) -> HttpResponses.send(context, request.requestId(), reply, item::end));
+			Runnable abandon = entry.handle(request, item, (reply) -> {
+				departure.end();
+				HttpResponses.send(context, request.requestId(), reply, item::end);
+			});
+			departure.onDeparture(abandon);
 			return context;
 		});
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryCall.java
@@ -65,6 +65,9 @@
 	 */
 	private int abortedAttempts;
 
+	/** Whether the caller has left and the request need not run. */
+	private volatile boolean abandoned;
+
 	/** The call of the latest attempt; null before the first. */
 	private volatile CallClient.PendingCall pendingCall;
 
@@ -115,6 +118,9 @@
 	}
 
 	private void startAttempt() {
+		if (this.abandoned) {
+			return;
+		}
 		Optional<Vm> vm = this.entry.selectTarget(this.route.service(), this.triedVms);
 		if (vm.isEmpty()) {
 			sendReply(new CallOutcome.NotRun(Reason.NO_TARGET, RETRY_AFTER_MILLIS));
@@ -139,9 +145,16 @@
 						this.request.ticket().filter((ticket) -> isAtMostOnce()), this.request.fingerprint(),
 						this.request.headers(), this.request.body(), this.snapshot.version().revision()),
 				new AttemptCallback(attemptCallback));
+		if (this.abandoned) {
+			this.pendingCall.cancel();
+		}
 	}
 
 	private void attemptEnded(String vm, long sentAt, CallOutcome outcome) {
+		if (this.abandoned) {
+			this.entry.requestAbandoned(vm);
+			return;
+		}
 		this.entry.requestEnded(vm, outcome, this.entry.now() - sentAt);
 		if (this.callback.isDone()) {
 			this.deadlineTimer.cancel();
@@ -174,6 +187,32 @@
 				: new CallOutcome.Unknown(Reason.LEAVING));
 	}
 
+	/**
+	 * Ends the request, because its caller has left, and cancels the attempt in progress.
+	 * An at-most-once request continues, because its caller can query the outcome.
+	 */
+	void callerLeft() {
+		if (isAtMostOnce() || this.callback.isDone()) {
+			return;
+		}
+		this.abandoned = true;
+		CallOutcome outcome = new CallOutcome.Unknown(Reason.CANCELLED);
+		cancelTimers();
+		// It does not count against the objective, as nobody waits any more.
+		this.entry.context()
+			.metrics()
+			.countRequest(this.route.service().name(), this.route.operation().name(), outcome);
+		accept(outcome);
+		OnceConsumer<CallOutcome> unfinishedAttempt = this.currentAttempt;
+		if (unfinishedAttempt != null) {
+			unfinishedAttempt.accept(outcome);
+		}
+		CallClient.PendingCall call = this.pendingCall;
+		if (call != null) {
+			call.cancel();
+		}
+	}
+
 	private void deadlinePassed() {
 		this.mayHaveRun = true;
 		sendReply(new CallOutcome.Unknown(Reason.DEADLINE_PASSED));
@@ -188,10 +227,10 @@
 	}
 
 	private void sendReply(CallOutcome outcome) {
-		if (!(outcome instanceof CallOutcome.Late) && this.deadlineTimer != null) {
-			this.deadlineTimer.cancel();
+		if (!(outcome instanceof CallOutcome.Late)) {
+			cancelTimers();
 		}
-		if (this.lateTimer != null) {
+		else if (this.lateTimer != null) {
 			this.lateTimer.cancel();
 		}
 		CallOutcome reconciled = OutcomeClaim.reconcile(outcome, isAtMostOnce(), this.request.firstAttempt(),
@@ -202,10 +241,23 @@
 				.countRequest(this.route.service().name(), this.route.operation().name(), reconciled);
 			this.entry.context().objectives().record(this.request.route(), reconciled);
 		}
-		this.callback.accept(new EntryReply.WithOutcome(reconciled,
+		accept(reconciled);
+	}
+
+	private void accept(CallOutcome outcome) {
+		this.callback.accept(new EntryReply.WithOutcome(outcome,
 				this.request.ticket().filter((ticket) -> isAtMostOnce()), this.snapshot.version().revision()));
 	}
 
+	private void cancelTimers() {
+		if (this.deadlineTimer != null) {
+			this.deadlineTimer.cancel();
+		}
+		if (this.lateTimer != null) {
+			this.lateTimer.cancel();
+		}
+	}
+
 	private boolean isAtMostOnce() {
 		return this.route.operation().kind() == OperationKind.AT_MOST_ONCE;
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/EntryService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/EntryService.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
@@ -81,20 +82,33 @@
 	 * @param item the accepted work that the request is; ended by the caller of this
 	 * method once the reply is written
 	 * @param callback receives the reply exactly once
+	 * @return to be run when the caller has left, see {@link EntryCall#callerLeft}
 	 */
-	void handle(CallerRequest request, AcceptedWork.Item item, Consumer<EntryReply> callback) {
+	Runnable handle(CallerRequest request, AcceptedWork.Item item, Consumer<EntryReply> callback) {
 		OnceConsumer<EntryReply> once = new OnceConsumer<>(callback);
+		AtomicReference<EntryCall> started = new AtomicReference<>();
 		item.setLastAnswer(() -> once.accept(refusal(Reason.LEAVING, request)));
-		continueUnlessDeferred(request, item, once);
+		continueUnlessDeferred(request, item, once, started);
+		return () -> {
+			if (started.get() == null && request.ticket().isEmpty()) {
+				once.accept(refusal(Reason.CANCELLED, request));
+			}
+			// It may have been started meanwhile, on another thread.
+			Optional.ofNullable(started.get()).ifPresent(EntryCall::callerLeft);
+		};
 	}
 
 	private void continueUnlessDeferred(CallerRequest request, AcceptedWork.Item item,
-			OnceConsumer<EntryReply> callback) {
+			OnceConsumer<EntryReply> callback, AtomicReference<EntryCall> started) {
+		if (callback.isDone()) {
+			return;
+		}
 		if (this.context.isLeaving()) {
 			callback.accept(refusal(Reason.LEAVING, request));
 			return;
 		}
-		if (this.context.state().deferUntilConfirmed(() -> continueUnlessDeferred(request, item, callback), now())) {
+		if (this.context.state()
+			.deferUntilConfirmed(() -> continueUnlessDeferred(request, item, callback, started), now())) {
 			return;
 		}
 		this.revisionListener.accept(request.knownRevision());
@@ -113,6 +127,7 @@
 			return;
 		}
 		EntryCall call = new EntryCall(this, snapshot.get(), route.get(), request, callback);
+		started.set(call);
 		// Before the start: from then on the request may run.
 		item.setLastAnswer(call::timeOver);
 		call.start();
@@ -195,6 +210,17 @@
 		}
 	}
 
+	/**
+	 * Records the end of an attempt whose caller has left, which says nothing about the
+	 * target.
+	 * @param vm name of the target's VM
+	 */
+	void requestAbandoned(String vm) {
+		synchronized (this.targetSelector) {
+			this.targetSelector.onAbandoned(vm, now());
+		}
+	}
+
 	Timeout schedule(long millis, Runnable task) {
 		return this.timer.newTimeout((timeout) -> task.run(), millis, TimeUnit.MILLISECONDS);
 	}
--- a/node/src/main/java/org/eelgrasspitch/node/HomeService.java
+++ b/node/src/main/java/org/eelgrasspitch/node/HomeService.java
@@ -283,6 +283,11 @@
 	 * outlast this node, which has begun to stop since, is refused.
 	 */
 	private void dispatch(PendingRequest pending) {
+		if (pending.cancelled) {
+			release();
+			pending.item.end();
+			return;
+		}
 		long remaining = pending.deadlineAt - now();
 		if (remaining <= 0) {
 			release();
@@ -297,6 +302,9 @@
 		long sentAt = now();
 		pending.call = this.target.send(pending.request, remaining, (statement) -> recordStatement(statement, sentAt),
 				(outcome) -> targetCallEnded(pending, outcome, now() - sentAt));
+		if (pending.cancelled) {
+			pending.call.cancel();
+		}
 	}
 
 	private synchronized boolean outlastsNode(PendingRequest pending) {
@@ -354,6 +362,7 @@
 
 	private void cancel(PendingRequest pending) {
 		boolean wasQueued;
+		pending.cancelled = true;
 		synchronized (this) {
 			wasQueued = this.queue.remove(pending);
 		}
@@ -419,6 +428,9 @@
 		/** True once the outcome is known. */
 		private final AtomicBoolean ended = new AtomicBoolean();
 
+		/** Whether nobody waits for the outcome any more. */
+		private volatile boolean cancelled;
+
 		/** The call to the target; null until it is sent. */
 		private volatile Call call;
 
--- a/node/src/main/java/org/eelgrasspitch/node/Node.java
+++ b/node/src/main/java/org/eelgrasspitch/node/Node.java
@@ -10,6 +10,7 @@
 import io.jooby.Jooby;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
+import io.netty.bootstrap.ChannelInitializerExtension;
 import io.netty.util.HashedWheelTimer;
 import org.eelgrasspitch.fleet.FleetEvent;
 import org.eelgrasspitch.fleet.FleetMember;
@@ -101,6 +102,7 @@
 	 */
 	public static Node start(NodeSettings settings) {
 		System.setProperty(SHUTDOWN_HOOK_PROPERTY, Boolean.toString(false));
+		System.setProperty(ChannelInitializerExtension.EXTENSIONS_SYSTEM_PROPERTY, CallerDepartureExtension.ENABLED);
 		Node node = create(settings);
 		node.context.log()
 			.info("node_started", Field.of("vm", settings.vm()), Field.of("failure_domain", settings.failureDomain()),
--- a/node/src/test/java/org/eelgrasspitch/node/DepartedCallerTests.java
+++ b/node/src/test/java/org/eelgrasspitch/node/DepartedCallerTests.java
@@ -19,7 +19,7 @@
 	private static final int CALLERS = 4;
 
 	// Nothing noticed that a caller had left, so its request ran when its turn came.
-	@Test(groups = "known-red")
+	@Test
 	public void waitingRequestOfADepartedCallerReachesNoTarget() throws Exception {
 		try (StoppingNode node = new StoppingNode(1_000, false)) {
 			node.targetMillis = TARGET_MILLIS;
@@ -36,7 +36,7 @@
 		}
 	}
 
-	@Test(groups = "known-red")
+	@Test
 	public void runningRequestOfADepartedCallerIsCancelled() throws Exception {
 		try (StoppingNode node = new StoppingNode(1_000, false)) {
 			node.targetMillis = 2 * TARGET_MILLIS;
