Let callers leave in the soak, and judge that nothing is sent on for them

Now 6 % of the callers leave within 0.3 s, some with more requests than a node takes at a time, and 15 more while a node is paused. Rule GONE: no request reaches a target over half a second after its caller has left; a pause of a node is no excuse.

--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/SoakTests.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/SoakTests.java
@@ -45,6 +45,11 @@
 		assertKept("UNASKED");
 	}
 
+	@Test
+	public void nothingIsSentOnForCallersThatLeft() {
+		assertKept("GONE");
+	}
+
 	@Test
 	public void nothingThatMayRunOnceRunsTwice() {
 		assertKept("TWICE");
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Judge.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/Judge.java
@@ -29,6 +29,9 @@
 	/** Time after a disturbance in which time bounds do not hold, in milliseconds. */
 	private static final long SETTLE_MILLIS = 3_000;
 
+	/** Time after a caller has left in which its request may still reach a target. */
+	private static final long DEPARTURE_MILLIS = 500;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int SERVER_ERROR = 500;
@@ -155,6 +158,24 @@
 			violation("TWICE", "ran more than once", run.id);
 		}
 		judgeService(run, request);
+		judgeDeparture(run);
+	}
+
+	/**
+	 * A pause of a node is no excuse: it sees that the caller has left as soon as it
+	 * runs.
+	 */
+	private void judgeDeparture(Run run) {
+		List<Attempt> attempts = this.evidence.attemptsOf(run.id);
+		if (attempts.isEmpty() || !attempts.stream().allMatch((attempt) -> attempt.end.equals(DepartingCaller.LEFT))) {
+			return;
+		}
+		count("runs for callers that left");
+		long left = attempts.stream().mapToLong((attempt) -> attempt.endMillis).max().orElseThrow();
+		if (run.arrivedMillis > left + DEPARTURE_MILLIS) {
+			violation("GONE",
+					"reached a target " + (run.arrivedMillis - left) + " ms after its caller had left: " + run, run.id);
+		}
 	}
 
 	private void judgeService(Run run, Request request) {
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/SoakCaller.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/SoakCaller.java
@@ -47,7 +47,10 @@
 		while (!this.world.isOver()) {
 			try {
 				connect();
-				if (chance(15)) {
+				if (chance(6)) {
+					new DepartingCaller(this.world, this.vm, this.random).run();
+				}
+				else if (chance(15)) {
 					pipeline();
 				}
 				else {
@@ -156,13 +159,26 @@
 	}
 
 	private Request request(String method, boolean idempotentOnly, int bodyBytes) {
+		return request(this.world, this.random, method, idempotentOnly, bodyBytes);
+	}
+
+	/**
+	 * Creates a request to a random route.
+	 * @param world the deployment
+	 * @param random source of the choice
+	 * @param method the HTTP method
+	 * @param idempotentOnly whether the route must be idempotent
+	 * @param bodyBytes length of the body in bytes
+	 * @return the request, which is registered
+	 */
+	static Request request(SoakWorld world, Random random, String method, boolean idempotentOnly, int bodyBytes) {
 		List<String> prefixes = Routes.prefixes();
-		String prefix = prefixes.get(this.random.nextInt(prefixes.size()));
+		String prefix = prefixes.get(random.nextInt(prefixes.size()));
 		while (idempotentOnly && !Routes.isIdempotent(prefix)) {
-			prefix = prefixes.get(this.random.nextInt(prefixes.size()));
+			prefix = prefixes.get(random.nextInt(prefixes.size()));
 		}
 		long number = NUMBER.incrementAndGet();
-		return this.world.evidence()
+		return world.evidence()
 			.register(new Request("q" + number, method, prefix, prefix + "item" + number + "?n=" + number, bodyBytes,
 					Routes.isIdempotent(prefix)));
 	}
--- a/testkit/src/main/java/org/eelgrasspitch/testkit/soak/SoakWorld.java
+++ b/testkit/src/main/java/org/eelgrasspitch/testkit/soak/SoakWorld.java
@@ -33,6 +33,9 @@
 
 	private static final int CALLERS_PER_VM = 5;
 
+	/** Callers that send to a paused node and leave. */
+	private static final int DEPARTING_CALLERS = 15;
+
 	private static final int SLOTS = 12;
 
 	private static final int NESTED_TIMEOUT_MILLIS = 1_500;
@@ -188,6 +191,10 @@
 			case 0 -> {
 				JavaProcess process = node.process();
 				process.pause();
+				for (int number = 0; number < DEPARTING_CALLERS; number++) {
+					Random choices = new Random(from + number);
+					Thread.ofVirtual().start(new DepartingCaller(this, vm, choices));
+				}
 				Cluster.sleep(millis);
 				process.resume();
 				this.evidence.disturbed(vm, "pause", from);
