--- a/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/CallerConnection.java
@@ -192,7 +192,10 @@
 		if (this.input.readPending()) {
 			return true;
 		}
-		endExchanges();
+		if (!this.exchanges.isEmpty()) {
+			this.entry.context().metrics().departureFound(false);
+			endExchanges();
+		}
 		return false;
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -143,6 +143,9 @@
 		if (!awaited && this.listener != null) {
 			cancel();
 		}
+		if (this.listener == null) {
+			this.home.departureFound();
+		}
 	}
 
 	private void startUnlessCancelled() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -481,6 +481,10 @@
 		return this.context.watch().isBehind();
 	}
 
+	void departureFound() {
+		this.context.metrics().departureFound(true);
+	}
+
 	private void connected(HomeCall call, TargetConnection connection) {
 		call.cancelIfUnawaited();
 		Optional<FailureReason> obstacle = startObstacle(call)
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/ProxyMetrics.java
@@ -53,6 +53,9 @@
 	private final Counter strayAnswers = counter("stray_answers_total",
 			"Answers of the target of this VM that belong to no request in progress, by when they arrived", "when");
 
+	private final Counter departures = counter("departures_total",
+			"Callers and calls that were found gone only when a request was about to be sent on, by where", "where");
+
 	private final Counter targetRequests = counter("target_requests_total",
 			"Requests that the target of this VM made while it ran others");
 
@@ -132,6 +135,16 @@
 		this.strayAnswers.labelValues(duringCall ? "call" : "idle").inc();
 	}
 
+	/**
+	 * Counts a caller that had left, or a call that had been cancelled, when a request
+	 * was about to be sent on by a node that is behind.
+	 * @param atHome whether this node was about to send a call to its target; otherwise
+	 * it was about to place the request of a caller of its own
+	 */
+	void departureFound(boolean atHome) {
+		this.departures.labelValues(atHome ? "home" : "entry").inc();
+	}
+
 	void recordTargetTime(long millis) {
 		this.targetSeconds.observe(millis / MILLIS_PER_SECOND);
 	}
