--- a/core/src/test/java/org/eelgrasspitch/mesh/HandlingDelayTests.java
+++ b/core/src/test/java/org/eelgrasspitch/mesh/HandlingDelayTests.java
@@ -28,6 +28,32 @@
 		Assert.assertEquals(delay.currentMillis(12_500), 37.5, 0.1);
 	}
 
+	// Callers left while the node stood still, and their requests were sent on.
+	@Test
+	public void nodeIsBehindFromTheMomentAtWhichItsTaskIsLate() {
+		HandlingDelay delay = new HandlingDelay();
+		Assert.assertFalse(delay.isBehind(5_000), "before the first run of the task");
+		Assert.assertEquals(delay.tick(5_000), 0);
+		Assert.assertFalse(delay.isBehind(5_300));
+		Assert.assertTrue(delay.isBehind(5_301));
+		Assert.assertTrue(delay.isBehind(6_050));
+		Assert.assertEquals(delay.tick(6_050), 800);
+		Assert.assertTrue(delay.isBehind(6_050));
+		Assert.assertEquals(delay.tick(6_300), 0);
+		Assert.assertTrue(delay.isBehind(6_300));
+	}
+
+	@Test
+	public void nodeThatHasCaughtUpIsNotBehind() {
+		HandlingDelay delay = new HandlingDelay();
+		delay.tick(1_000);
+		delay.tick(2_050);
+		for (long now = 2_300; now <= 4_300; now += HandlingDelay.TICK_INTERVAL_MILLIS) {
+			delay.tick(now);
+		}
+		Assert.assertFalse(delay.isBehind(4_300));
+	}
+
 	// Requests to a new home waited in its sockets until their time was over.
 	@Test
 	public void requestsTurnToOtherTargetsWhileAHomeIsBehind() {
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/LinkManager.java
@@ -222,7 +222,7 @@
 	 * Flushes all links.
 	 */
 	void flush() {
-		this.allLinks.forEach(Link::flush);
+		List.copyOf(this.allLinks).forEach(Link::flush);
 	}
 
 	/**
