--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeCall.java
@@ -135,7 +135,7 @@
 	 * Handles a cancellation that has arrived and is not read, if there may be one.
 	 */
 	void cancelIfUnawaited() {
-		if (this.listener == null || !this.home.isBehind()) {
+		if (this.listener == null || !this.home.context().watch().isBehind()) {
 			return;
 		}
 		boolean awaited = this.listener.isAwaited();
@@ -144,7 +144,7 @@
 			cancel();
 		}
 		if (this.listener == null) {
-			this.home.departureFound();
+			this.home.context().metrics().departureFound(true);
 		}
 	}
 
--- a/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/HomeService.java
@@ -335,6 +335,10 @@
 		return this.condition;
 	}
 
+	ProxyContext context() {
+		return this.context;
+	}
+
 	HeaderNames headerNames() {
 		return this.context.names();
 	}
@@ -472,19 +476,6 @@
 		return this.condition.isDrained() ? Optional.of(FailureReason.LEAVING) : this.stop.obstacle(call.head(), now());
 	}
 
-	/**
-	 * Returns whether what this node has read may be out of date, so that a call may have
-	 * been cancelled that looks as if it were not.
-	 * @return false while the event loop keeps up
-	 */
-	boolean isBehind() {
-		return this.context.watch().isBehind();
-	}
-
-	void departureFound() {
-		this.context.metrics().departureFound(true);
-	}
-
 	private void connected(HomeCall call, TargetConnection connection) {
 		call.cancelIfUnawaited();
 		Optional<FailureReason> obstacle = startObstacle(call)
