--- a/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/Link.java
@@ -252,6 +252,8 @@
 		}
 		if (this.links.context().watch().isBehind()) {
 			List<OutgoingCall> unsent = this.outgoingCalls.values().stream().filter(OutgoingCall::isUnsent).toList();
+			// Where it finds that the caller has left, the call is cancelled and
+			// withdrawn.
 			unsent.forEach((call) -> call.listener().isAwaited());
 		}
 		this.flushScheduled = false;
