Judge only VMs that know that the server leaves, in a check of the scenarios

The log of the run shows that all requests after the statement were refused: the check was wrong.

Cause: a VM that had passed on no answer with the statement got the time Long.MAX_VALUE, to which the drain time was added. The sum is negative, so all requests of that VM counted as late.

--- a/scenarios/src/test/java/org/eelgrasspitch/scenarios/StatementSteps.java
+++ b/scenarios/src/test/java/org/eelgrasspitch/scenarios/StatementSteps.java
@@ -111,7 +111,8 @@
 		Assert.assertFalse(knownSince.isEmpty(), "an answer has said that the server is leaving");
 		List<String> late = this.callers.ended()
 			.stream()
-			.filter((sent) -> sent.sentAtMillis() > knownSince.getOrDefault(sent.vm(), Long.MAX_VALUE) + DRAIN_MILLIS)
+			.filter((sent) -> knownSince.containsKey(sent.vm()))
+			.filter((sent) -> sent.sentAtMillis() > knownSince.get(sent.vm()) + DRAIN_MILLIS)
 			.map(Sent::id)
 			.filter(reached::contains)
 			.toList();
