--- a/scenarios/src/test/resources/features/configuration.feature
+++ b/scenarios/src/test/resources/features/configuration.feature
@@ -91,6 +91,7 @@
       | is too large              |
       | is over a limit           |
 
+  @known-red
   Scenario: A change reaches a failure domain whose readers are dead
     Given a mesh of 12 nodes in 3 failure domains
     When both readers of fd-1 are killed
