End the watch on a caller whose request is answered at once

A request that was answered before the watch was set was watched until its connection ended: on a kept connection each such request left a listener with it. The watch knows now that it has ended.

--- a/node/src/main/java/org/eelgrasspitch/node/CallerDeparture.java
+++ b/node/src/main/java/org/eelgrasspitch/node/CallerDeparture.java
@@ -24,7 +24,10 @@
 	private final Channel connection;
 
 	/** Called when the connection ends; null before {@link #onDeparture}. */
-	private volatile ChannelFutureListener listener;
+	private ChannelFutureListener listener;
+
+	/** Whether the request has its response. */
+	private boolean ended;
 
 	private CallerDeparture(Channel connection) {
 		this.connection = connection;
@@ -39,12 +42,13 @@
 	}
 
 	/**
-	 * Sets what to do when the caller leaves. Called at most once.
+	 * Sets what to do when the caller leaves, unless the request has its response
+	 * already. Called at most once.
 	 * @param action runs on the event loop of the connection, also if the caller has left
 	 * already
 	 */
-	void onDeparture(Runnable action) {
-		if (this.connection == null) {
+	synchronized void onDeparture(Runnable action) {
+		if (this.connection == null || this.ended) {
 			return;
 		}
 		this.listener = (closed) -> action.run();
@@ -54,10 +58,10 @@
 	/**
 	 * Ends the watch, because the request has its response.
 	 */
-	void end() {
-		ChannelFutureListener set = this.listener;
-		if (set != null) {
-			this.connection.closeFuture().removeListener(set);
+	synchronized void end() {
+		this.ended = true;
+		if (this.listener != null) {
+			this.connection.closeFuture().removeListener(this.listener);
 		}
 	}
 
