Read a held connection on as soon as there is room

After a part of what was held was decoded and the pipeline was full again, the connection was read no more although less than the maximum was held, so its end was not seen.

SocketInputTests failed before.

--- a/proxy/src/main/java/org/eelgrasspitch/proxy/SocketInput.java
+++ b/proxy/src/main/java/org/eelgrasspitch/proxy/SocketInput.java
@@ -145,7 +145,7 @@
 			pass(bytes);
 		}
 		this.context.fireChannelReadComplete();
-		if (!this.holding) {
+		if (!this.holding || this.heldBytes < MAX_HELD_BYTES) {
 			this.context.channel().config().setAutoRead(true);
 		}
 	}
